--- /dev/null
+++ b/src/bin/comfreybay-bench.rs
@@ -0,0 +1,3 @@
+//! Experiments with stand-ins for the platform.
+
+fn main() {}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions: admission, routing, retries, acceptance of configuration, membership.
--- /dev/null
+++ b/src/protocol/header.rs
@@ -0,0 +1,36 @@
+//! Names of the headers that nodes, callers and backend servers exchange.
+
+/// Prefix of all headers that are internal to the system.
+pub const PREFIX: &str = "cb-";
+/// Outcome of a call, on every answer of a node.
+pub const OUTCOME: &str = "cb-outcome";
+/// Token of the call in progress, passed on by the backend server.
+pub const CALL: &str = "cb-call";
+/// Service that a call from the backend server goes to; `Host` when absent.
+pub const SERVICE: &str = "cb-service";
+/// Identifier of the client request.
+pub const ROOT: &str = "cb-root";
+/// Class of the client request.
+pub const CLASS: &str = "cb-class";
+/// Chain that the client request takes.
+pub const CHAIN: &str = "cb-chain";
+/// Priority of the client request.
+pub const PRIORITY: &str = "cb-priority";
+/// Time left until the deadline, in ms.
+pub const TIMEOUT_MS: &str = "cb-timeout-ms";
+/// Extra attempts lent to a call.
+pub const ALLOWANCE: &str = "cb-allowance";
+/// Extra attempts given back on an answer.
+pub const UNUSED: &str = "cb-unused";
+/// Admission levels, as `service=level` joined by `;`.
+pub const LEVELS: &str = "cb-levels";
+/// Load of the answering upstream, as `in_flight/limit/queued`.
+pub const LOAD: &str = "cb-load";
+/// Present when the answering node is leaving.
+pub const LEAVING: &str = "cb-leaving";
+/// Ticket for a non-repeatable request.
+pub const TICKET: &str = "cb-ticket";
+/// Time to wait before sending again, in ms.
+pub const RETRY_MS: &str = "cb-retry-ms";
+/// Ticket that a caller presents, or the caller's own key.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
--- /dev/null
+++ b/src/protocol/outcome.rs
@@ -0,0 +1,52 @@
+//! The four outcomes of a call.
+
+use std::{fmt, str::FromStr};
+
+use thiserror::Error;
+
+/// What a node tells about a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    /// The complete answer of the backend server.
+    Complete,
+    /// Refused; the request ran nowhere.
+    NotRun,
+    /// It may have run and has ended without an answer.
+    Failed,
+    /// It may have run or may still run.
+    Unknown,
+}
+
+/// Text that is not an outcome.
+#[derive(Debug, Error, Clone, PartialEq, Eq)]
+#[error("could not read outcome from {0:?}")]
+pub struct OutcomeError(String);
+
+impl Outcome {
+    /// The text used on the wire.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::NotRun => "not-run",
+            Self::Failed => "failed",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl FromStr for Outcome {
+    type Err = OutcomeError;
+
+    fn from_str(text: &str) -> Result<Self, OutcomeError> {
+        let all = [Self::Complete, Self::NotRun, Self::Failed, Self::Unknown];
+        all.into_iter()
+            .find(|o| o.as_str() == text)
+            .ok_or_else(|| OutcomeError(text.to_owned()))
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,11 @@
+//! Domain types and tables. Nothing in this layer performs I/O.
+
+pub mod config;
+mod error;
+pub mod id;
+pub mod object;
+pub mod priority;
+pub mod publication;
+pub mod settings;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,4 @@
+//! Networks, listeners and connections.
+
+pub mod net;
+pub mod tcp;
--- /dev/null
+++ b/src/transport/net.rs
@@ -0,0 +1,51 @@
+//! The network as the nodes see it, real or in memory.
+
+use std::{io, net::SocketAddr};
+
+use tokio::io::{AsyncRead, AsyncWrite};
+
+/// The network of one host: dials and binds with that host's address.
+#[allow(
+    async_fn_in_trait,
+    reason = "all tasks run on one thread and need no Send bound"
+)]
+pub trait Net: Clone + 'static {
+    /// A connection.
+    type Conn: AsyncRead + AsyncWrite + Unpin + 'static;
+    /// A bound listener.
+    type Listener: Listener<Conn = Self::Conn> + 'static;
+
+    /// Opens a connection to `to`.
+    ///
+    /// # Errors
+    /// The peer refuses, resets or can't be reached.
+    async fn dial(&self, to: SocketAddr) -> io::Result<Self::Conn>;
+
+    /// Starts to listen at `at`.
+    ///
+    /// # Errors
+    /// The address is in use or not of this host.
+    async fn bind(&self, at: SocketAddr) -> io::Result<Self::Listener>;
+}
+
+/// A bound listener.
+#[allow(
+    async_fn_in_trait,
+    reason = "all tasks run on one thread and need no Send bound"
+)]
+pub trait Listener {
+    /// A connection.
+    type Conn;
+
+    /// Waits for the next connection; gives it with the address of its peer.
+    ///
+    /// # Errors
+    /// The listener is closed or the process is out of descriptors.
+    async fn accept(&mut self) -> io::Result<(Self::Conn, SocketAddr)>;
+
+    /// The address that the listener is bound to.
+    ///
+    /// # Errors
+    /// The listener is closed.
+    fn local_addr(&self) -> io::Result<SocketAddr>;
+}
