Add the configuration store

Cause: the data path, the control plane and the stand-ins all need the configuration in effect and a notice of its changes.

Change: ConfigStore holds the configuration with its encoded parts and replaces both in one step. A lower revision is never accepted; an equal revision with another digest is counted as a conflict and not accepted. Changes are published through a watch channel.

--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,5 +7,6 @@
 pub mod priority;
 pub mod publication;
 pub mod settings;
+pub mod store;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/tests/store.rs
@@ -0,0 +1,50 @@
+//! Guards the configuration store against reverts and mixed sets.
+
+use comfreybay::state::{
+    id::Revision,
+    object::Deployment,
+    publication::Publication,
+    store::{ConfigStore, Offered},
+};
+
+fn publication(revision: u64, name: &str) -> Publication {
+    let json = format!(r#"{{"name":"{name}","owner":"o","favour":"goodput","zones":[]}}"#);
+    let deployment: Deployment = serde_json::from_str(&json).expect("valid deployment");
+    Publication::new(Revision(revision), deployment, vec![])
+}
+
+/// Guards against a stale source that brings an older revision back.
+#[test]
+fn revision_only_rises() {
+    let store = ConfigStore::new();
+    let mut changes = store.subscribe();
+    let offers = [
+        (2, Offered::Accepted),
+        (1, Offered::Older),
+        (2, Offered::Same),
+        (3, Offered::Accepted),
+    ];
+    for (revision, expected) in offers {
+        let before = store.revision();
+        assert_eq!(store.accept_whole(&publication(revision, "d")), expected);
+        assert!(store.revision() >= before);
+        assert_eq!(
+            changes.has_changed().expect("store lives"),
+            expected == Offered::Accepted
+        );
+        changes.mark_unchanged();
+    }
+}
+
+/// Guards against mixing two sets that were published under one revision.
+#[test]
+fn conflict_keeps_the_current_set() {
+    let store = ConfigStore::new();
+    let (first, second) = (publication(5, "a"), publication(5, "b"));
+    store.accept_whole(&first);
+    assert_eq!(store.accept_whole(&second), Offered::Conflict);
+    assert_eq!(store.conflicts(), 1);
+    let config = store.config().expect("accepted before");
+    assert_eq!(config.digest, first.head.digest());
+    assert!(store.part(&second.head.digest()).is_none());
+}
