--- a/tools/schema/src/main.rs
+++ b/tools/schema/src/main.rs
@@ -2,7 +2,7 @@
 //!
 //! Needs the `capnp` compiler (Debian package `capnproto`); an ordinary build does not.
 
-fn main() -> Result<(), capnpc::Error> {
+fn main() -> Result<(), capnp::Error> {
     capnpc::CompilerCommand::new()
         .src_prefix("src/protocol")
         .file("src/protocol/peer.capnp")
