--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -34,3 +34,9 @@
 pub const RETRY_MS: &str = "cb-retry-ms";
 /// Ticket that a caller presents, or the caller's own key.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Present when a request is refused because earlier attempts crashed backend servers.
+pub const CONVICTED: &str = "cb-convicted";
+/// Reason of a refusal, for people.
+pub const WHY: &str = "cb-why";
+/// Number of body bytes, as the trailer that ends a streamed answer between nodes.
+pub const LENGTH: &str = "cb-length";
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,4 +1,6 @@
 //! Wire forms: headers, control messages, the platform's documents.
 
+pub mod call;
 pub mod header;
+pub mod hop;
 pub mod outcome;
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, str::FromStr};
 
+use http::StatusCode;
 use thiserror::Error;
 
 /// What a node tells about a call.
@@ -32,6 +33,18 @@
             Self::Unknown => "unknown",
         }
     }
+
+    /// The status of an answer that a node makes itself.
+    ///
+    /// A complete answer has the backend server's own status instead.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Complete => StatusCode::OK,
+            Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Failed => StatusCode::BAD_GATEWAY,
+            Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
 }
 
 impl fmt::Display for Outcome {
