--- /dev/null
+++ b/src/state/counters.rs
@@ -0,0 +1,207 @@
+//! Counters and gauges of one node.
+
+use std::{cell::Cell, fmt, str::FromStr};
+
+use super::{Error, Result};
+
+/// Whether a value only rises or is a reading of the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sort {
+    /// A total since the start of the process.
+    Total,
+    /// A reading of the moment.
+    Gauge,
+}
+
+macro_rules! counters {
+    ($($variant:ident $name:literal $unit:literal $sort:ident $about:literal,)+) => {
+        /// A counter or gauge that every node keeps.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum Counter {
+            $(#[doc = $about] $variant,)+
+        }
+
+        impl Counter {
+            /// All counters and gauges, in the order of the dump.
+            pub const ALL: &[Self] = &[$(Self::$variant,)+];
+
+            /// The name in the dump and in metrics, as `group.name`.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $name,)+
+                }
+            }
+
+            /// The unit of the value.
+            pub fn unit(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $unit,)+
+                }
+            }
+
+            /// Whether it is a total or a gauge.
+            pub fn sort(self) -> Sort {
+                match self {
+                    $(Self::$variant => Sort::$sort,)+
+                }
+            }
+
+            /// What it counts.
+            pub fn about(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $about,)+
+                }
+            }
+        }
+    };
+}
+
+counters! {
+    PublicCalls "calls.public" "calls" Total "Calls accepted from callers outside.",
+    PeerCalls "calls.peer" "calls" Total "Calls accepted from other nodes.",
+    EgressCalls "calls.egress" "calls" Total "Calls accepted from the node's own backend server.",
+    CallsComplete "calls.complete" "calls" Total "Calls answered as complete.",
+    CallsNotRun "calls.not-run" "calls" Total "Calls answered as not run.",
+    CallsFailed "calls.failed" "calls" Total "Calls answered as failed.",
+    CallsUnknown "calls.unknown" "calls" Total "Calls answered as unknown.",
+    CallsCancelled "calls.cancelled" "calls" Total "Calls whose caller disconnected before the answer.",
+    CallsOpen "calls.open" "calls" Gauge "Calls in progress in the call table.",
+    CallsHeld "calls.held" "calls" Total "Calls held because the caller sent again before its time.",
+    AnswersBroken "answers.broken" "answers" Total "Answers of a server that ended before their end.",
+    AddedUs "calls.added-us" "us" Gauge "99th percentile of the time that the node added to a call.",
+
+    RefusedLevel "refused.level" "calls" Total "Refused by the admission level.",
+    RefusedEvicted "refused.evicted" "calls" Total "Evicted from the queue by a better call.",
+    RefusedWaited "refused.waited" "calls" Total "Refused after the longest wait in the queue.",
+    RefusedDeadline "refused.deadline" "calls" Total "Refused because the deadline could not be met.",
+    RefusedLeaving "refused.leaving" "calls" Total "Refused because the node is leaving.",
+    RefusedWaking "refused.waking" "calls" Total "Refused because the node is waking after a pause.",
+    RefusedConvicted "refused.convicted" "calls" Total "Refused because the request crashes servers.",
+    RefusedClassLimit "refused.class-limit" "calls" Total "Refused by a limit object.",
+    RefusedNoConfig "refused.no-config" "calls" Total "Refused because no configuration is in effect.",
+    RefusedChain "refused.chain" "calls" Total "Refused early because a service of the chain refuses the class.",
+    RefusedNoRoute "refused.no-route" "calls" Total "Refused because no chain or no upstream matches.",
+    RefusedNoTicket "refused.no-ticket" "calls" Total "Refused because a non-repeatable call carried no ticket.",
+    RefusedEgress "refused.egress" "calls" Total "Egress calls refused because their call token is not in progress.",
+    RefusedRepeat "refused.repeat" "calls" Total "Egress calls refused as a repeat of a non-repeatable call.",
+    RefusedPeer "refused.peer" "connections" Total "Connections refused because the peer is no known upstream.",
+    RefusedImportant "refused.important" "calls" Total "Calls of important classes refused at this node's gate.",
+
+    RetriesSent "retries.sent" "calls" Total "Extra attempts sent.",
+    RetriesAllowance "retries.no-allowance" "calls" Total "Retries not sent because the allowance was spent.",
+    RetriesBudget "retries.no-budget" "calls" Total "Retries not sent because the retry budget was spent.",
+    RetriesDeadline "retries.no-time" "calls" Total "Retries not sent because of the deadline.",
+
+    TicketsIssued "tickets.issued" "tickets" Total "Tickets issued.",
+    TicketsFirst "tickets.first" "tickets" Total "Tickets presented for the first time.",
+    TicketsAgain "tickets.again" "tickets" Total "Tickets presented again.",
+    TicketsMismatch "tickets.mismatch" "tickets" Total "Tickets presented with another request.",
+    TicketsUnknown "tickets.unknown" "tickets" Total "Tickets that were too old, forged or of another incarnation.",
+    TicketsForwarded "tickets.forwarded" "tickets" Total "Tickets forwarded to their issuer.",
+    TicketsKept "tickets.kept" "tickets" Gauge "Presented tickets whose state is kept.",
+
+    ServerCalls "server.calls" "calls" Total "Calls dispatched to the node's own backend server.",
+    ServerSheds "server.sheds" "calls" Total "Calls that the backend server refused on its own.",
+    ServerLost "server.lost" "events" Total "Times that the backend server's connections were lost.",
+    ServerConnections "server.connections" "connections" Gauge "Connections open to the backend server.",
+    SuspectsAdded "suspects.added" "requests" Total "Requests marked as suspects.",
+    SuspectsCleared "suspects.cleared" "requests" Total "Suspects cleared by a complete answer.",
+    SuspectsConvicted "suspects.convicted" "requests" Total "Suspects convicted of crashing the backend server.",
+    Suspects "suspects.kept" "requests" Gauge "Suspects and convicted requests known.",
+
+    GateInFlight "gate.in-flight" "calls" Gauge "Calls in flight at the backend server.",
+    GateQueued "gate.queued" "calls" Gauge "Calls waiting in the queue.",
+    GateLimit "gate.limit" "calls" Gauge "Concurrency limit.",
+    GateLevel "gate.level" "priority" Gauge "Admission level; 4294967295 is fully open.",
+    GateDelayUs "gate.delay-us" "us" Gauge "Least queue delay of the last window.",
+
+    UpstreamsEjected "upstreams.ejected" "events" Total "Times that an upstream was ejected.",
+    UpstreamsOut "upstreams.out" "upstreams" Gauge "Upstreams ejected at the moment.",
+    UpstreamsKnown "upstreams.known" "upstreams" Gauge "Upstreams in the routing table.",
+    Dials "connections.dialled" "connections" Total "Connections opened to other nodes.",
+    DialsFailed "connections.failed" "connections" Total "Connections to other nodes that could not be opened.",
+    ListDistrusted "instances.distrusted" "events" Total "Times that the instance list was not trusted.",
+    ListReads "instances.reads" "reads" Total "Reads of the instance list.",
+
+    ConfigRevision "config.revision" "revision" Gauge "Revision in effect.",
+    ConfigAccepted "config.accepted" "revisions" Total "Revisions accepted.",
+    ConfigConflicts "config.conflicts" "heads" Total "Heads of the current revision with another digest.",
+    ConfigOlder "config.older" "heads" Total "Heads of an older revision that were offered.",
+    ConfigInvalid "config.invalid" "parts" Total "Parts refused for their digest or content.",
+    ConfigReads "config.reads" "reads" Total "Reads of the configuration service.",
+    ConfigReadsFailed "config.reads-failed" "reads" Total "Reads of the configuration service that failed.",
+    ConfigPulls "config.pulls" "parts" Total "Parts pulled from peers.",
+    ConfigReader "config.reader" "flag" Gauge "1 while this node reads the configuration service for its zone.",
+    ConfigApplyMs "config.apply-ms" "ms" Gauge "Time from first notice of the last revision to its effect.",
+
+    Peers "peers.known" "peers" Gauge "Peers that heartbeats are exchanged with.",
+    PeersLost "peers.lost" "events" Total "Times that a peer was found down.",
+    HeartbeatsSent "peers.heartbeats-sent" "messages" Total "Heartbeats sent.",
+    HeartbeatsReceived "peers.heartbeats-received" "messages" Total "Heartbeats received.",
+    NewsForwarded "peers.news" "items" Total "Items of news forwarded.",
+    MessagesRefused "peers.refused" "messages" Total "Control messages refused as malformed or oversized.",
+    ControlSentBytes "control.sent-bytes" "bytes" Total "Bytes sent as control traffic.",
+    ControlReceivedBytes "control.received-bytes" "bytes" Total "Bytes received as control traffic.",
+    Pauses "process.pauses" "events" Total "Pauses of the process that were detected.",
+    JournalDropped "journal.dropped" "requests" Total "Requests dropped from the table of recent requests.",
+}
+
+impl fmt::Display for Counter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.name())
+    }
+}
+
+impl FromStr for Counter {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let found = Self::ALL.iter().find(|c| c.name() == text);
+        found.copied().ok_or_else(|| Error::Number {
+            what: "counter",
+            text: text.to_owned(),
+        })
+    }
+}
+
+/// The values of all counters and gauges of one node; shared on its thread by reference.
+///
+/// ```
+/// use comfreybay::state::counters::{Counter, Counters};
+/// let counters = Counters::default();
+/// counters.add(Counter::PublicCalls, 2);
+/// counters.set(Counter::GateLimit, 110);
+/// assert_eq!(counters.get(Counter::PublicCalls), 2);
+/// assert_eq!(counters.iter().count(), Counter::ALL.len());
+/// ```
+#[derive(Debug)]
+pub struct Counters([Cell<u64>; Counter::ALL.len()]);
+
+impl Default for Counters {
+    fn default() -> Self {
+        Self([const { Cell::new(0) }; Counter::ALL.len()])
+    }
+}
+
+impl Counters {
+    /// Adds `n` to a total.
+    pub fn add(&self, counter: Counter, n: u64) {
+        let cell = &self.0[counter as usize];
+        cell.set(cell.get().wrapping_add(n));
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, counter: Counter, value: u64) {
+        self.0[counter as usize].set(value);
+    }
+
+    /// The value of a counter or gauge.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.0[counter as usize].get()
+    }
+
+    /// All values, in the order of the dump.
+    pub fn iter(&self) -> impl Iterator<Item = (Counter, u64)> + '_ {
+        Counter::ALL.iter().map(|&c| (c, self.get(c)))
+    }
+}
--- /dev/null
+++ b/src/state/journal.rs
@@ -0,0 +1,322 @@
+//! Recent decisions of one node and what happened to recent requests.
+
+use std::{
+    borrow::Cow,
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use super::id::{ClassName, RootId, ServiceName, UpstreamName};
+
+/// Decisions kept.
+pub const DECISIONS: usize = 100;
+
+/// Requests kept. At 354 calls/s a node keeps about 6 s of them.
+pub const REQUESTS: usize = 2_048;
+
+/// Steps kept of one request; later ones replace the last one, so the end is always present.
+///
+/// Three extra attempts with their results need 14 steps, so this leaves room for fan-out.
+pub const STEPS: usize = 24;
+
+/// Fixed or formatted text of a cause.
+pub type Text = Cow<'static, str>;
+
+/// A kind of decision that changes the state of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Change {
+    /// The node changed to starting, serving, waking or leaving.
+    State,
+    /// A revision came into effect.
+    Config,
+    /// A head, bucket or piece was refused.
+    ConfigRefused,
+    /// A head of the current revision had another digest.
+    ConfigConflict,
+    /// The node started or stopped reading the configuration service for its zone.
+    Reader,
+    /// The admission level rose from or fell to fully open, or changed by an importance.
+    Level,
+    /// The concurrency limit was cut or restored.
+    Limit,
+    /// The connections to the backend server were lost.
+    ServerLost,
+    /// The backend server answered again.
+    ServerBack,
+    /// A request became a suspect.
+    Suspect,
+    /// A suspect was cleared.
+    Cleared,
+    /// A suspect was convicted.
+    Convicted,
+    /// An upstream was ejected.
+    Ejected,
+    /// An ejected upstream was taken back.
+    Returned,
+    /// An upstream was found to be leaving.
+    UpstreamLeaving,
+    /// A peer was found down.
+    PeerLost,
+    /// A peer that was down answered again.
+    PeerBack,
+    /// The instance list lost or regained trust.
+    InstanceList,
+    /// The process was found to have been paused.
+    Paused,
+}
+
+impl Change {
+    /// The text used in the dump.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::State => "state",
+            Self::Config => "config",
+            Self::ConfigRefused => "config-refused",
+            Self::ConfigConflict => "config-conflict",
+            Self::Reader => "reader",
+            Self::Level => "level",
+            Self::Limit => "limit",
+            Self::ServerLost => "server-lost",
+            Self::ServerBack => "server-back",
+            Self::Suspect => "suspect",
+            Self::Cleared => "cleared",
+            Self::Convicted => "convicted",
+            Self::Ejected => "ejected",
+            Self::Returned => "returned",
+            Self::UpstreamLeaving => "upstream-leaving",
+            Self::PeerLost => "peer-lost",
+            Self::PeerBack => "peer-back",
+            Self::InstanceList => "instance-list",
+            Self::Paused => "paused",
+        }
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// One decision that changed the state of the node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// Time since the start of the process, in ms.
+    pub at_ms: u64,
+    /// Kind of the decision.
+    pub change: Change,
+    /// What it concerns: an upstream, a service, a revision, a fingerprint.
+    pub subject: Text,
+    /// Why it was taken, with the values that led to it.
+    pub cause: Text,
+}
+
+/// What happened to a request at one moment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "step", rename_all = "kebab-case")]
+pub enum Step {
+    /// It arrived at a listener: `public`, `peer` or `egress`.
+    Arrived {
+        /// The listener.
+        listener: Text,
+        /// Service that the call is for.
+        service: ServiceName,
+        /// Class of the request.
+        class: ClassName,
+        /// Priority of the request.
+        priority: u32,
+    },
+    /// It was admitted to the backend server after a wait.
+    Admitted {
+        /// Time in the queue, in us.
+        waited_us: u64,
+    },
+    /// It was refused before dispatch at this node.
+    Refused {
+        /// Which rule refused it.
+        cause: Text,
+    },
+    /// It was sent to an upstream.
+    Sent {
+        /// The upstream.
+        upstream: UpstreamName,
+    },
+    /// An attempt at an upstream ended.
+    Ended {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// How it ended.
+        result: Text,
+    },
+    /// Another attempt follows after a delay.
+    Retry {
+        /// Delay, in ms.
+        delay_ms: u64,
+        /// Extra attempts left.
+        left: u32,
+    },
+    /// No other attempt follows.
+    NoRetry {
+        /// Which rule ended the attempts.
+        cause: Text,
+    },
+    /// A ticket was presented.
+    Ticket {
+        /// How the issuer judged it.
+        result: Text,
+    },
+    /// The call was answered.
+    Answered {
+        /// The outcome told to the caller.
+        outcome: Text,
+        /// The status code.
+        status: u16,
+    },
+    /// The caller disconnected.
+    Cancelled,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Arrived {
+                listener,
+                service,
+                class,
+                priority,
+            } => write!(
+                f,
+                "arrived at {listener} for {service}, class {class}, priority {priority}"
+            ),
+            Self::Admitted { waited_us } => write!(f, "admitted after {waited_us} us"),
+            Self::Refused { cause } => write!(f, "refused: {cause}"),
+            Self::Sent { upstream } => write!(f, "sent to {upstream}"),
+            Self::Ended { upstream, result } => write!(f, "{upstream}: {result}"),
+            Self::Retry { delay_ms, left } => {
+                write!(f, "retry after {delay_ms} ms, {left} extra attempts left")
+            }
+            Self::NoRetry { cause } => write!(f, "no retry: {cause}"),
+            Self::Ticket { result } => write!(f, "ticket: {result}"),
+            Self::Answered { outcome, status } => write!(f, "answered {status} {outcome}"),
+            Self::Cancelled => f.write_str("cancelled: the caller disconnected"),
+        }
+    }
+}
+
+/// A step with its time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Time since the start of the process, in us.
+    pub at_us: u64,
+    /// What happened.
+    #[serde(flatten)]
+    pub step: Step,
+}
+
+/// The last decisions of a node and the recent requests that passed it.
+///
+/// ```
+/// use comfreybay::state::{id::RootId, journal::{Change, Journal, Step}};
+/// use tokio::time::Instant;
+/// let start = Instant::now();
+/// let mut journal = Journal::new(start);
+/// journal.decide(start, Change::State, "node", "started with an empty configuration");
+/// assert_eq!(journal.decisions().count(), 1);
+/// let root = RootId([7; 16]);
+/// journal.request(start, root, Step::Cancelled);
+/// assert_eq!(journal.why(&root).len(), 1);
+/// ```
+#[derive(Debug)]
+pub struct Journal {
+    start: Instant,
+    decisions: VecDeque<Decision>,
+    requests: BTreeMap<RootId, Vec<Event>>,
+    order: VecDeque<RootId>,
+    dropped: u64,
+}
+
+impl Journal {
+    /// An empty journal; times are counted from `start`.
+    pub fn new(start: Instant) -> Self {
+        Self {
+            start,
+            decisions: VecDeque::with_capacity(DECISIONS),
+            requests: BTreeMap::new(),
+            order: VecDeque::with_capacity(REQUESTS),
+            dropped: 0,
+        }
+    }
+
+    /// Time from the start to `now`.
+    pub fn since(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.start)
+    }
+
+    /// Records a decision that changed the state of the node.
+    pub fn decide(
+        &mut self,
+        now: Instant,
+        change: Change,
+        subject: impl Into<Text>,
+        cause: impl Into<Text>,
+    ) {
+        if self.decisions.len() == DECISIONS {
+            self.decisions.pop_front();
+        }
+        self.decisions.push_back(Decision {
+            at_ms: self.since(now).as_millis() as u64,
+            change,
+            subject: subject.into(),
+            cause: cause.into(),
+        });
+    }
+
+    /// Records what happened to a request.
+    pub fn request(&mut self, now: Instant, root: RootId, step: Step) {
+        let at_us = self.since(now).as_micros() as u64;
+        if !self.requests.contains_key(&root) {
+            self.make_room();
+            self.order.push_back(root);
+        }
+        let events = self.requests.entry(root).or_default();
+        if events.len() == STEPS {
+            events.pop();
+        }
+        events.push(Event { at_us, step });
+    }
+
+    fn make_room(&mut self) {
+        if self.order.len() < REQUESTS {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.requests.remove(&oldest);
+            self.dropped += 1;
+        }
+    }
+
+    /// The last decisions, oldest first.
+    pub fn decisions(&self) -> impl Iterator<Item = &Decision> {
+        self.decisions.iter()
+    }
+
+    /// What happened to a request, oldest first; empty when it is not known (any more).
+    pub fn why(&self, root: &RootId) -> &[Event] {
+        self.requests.get(root).map_or(&[], Vec::as_slice)
+    }
+
+    /// Requests known.
+    pub fn requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Requests dropped since the start to make room.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+}
--- /dev/null
+++ b/tests/journal.rs
@@ -0,0 +1,107 @@
+//! Guards the counters and the journal that operators read after an incident.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use comfreybay::state::{
+    counters::{Counter, Counters, Sort},
+    id::RootId,
+    journal::{Change, DECISIONS, Journal, REQUESTS, STEPS, Step},
+};
+use tokio::time::Instant;
+
+fn root(n: usize) -> RootId {
+    RootId((n as u128).to_be_bytes())
+}
+
+/// Guards against two counters that appear as one metric, and names that cannot be read back.
+#[test]
+fn counter_names_are_distinct() {
+    let names: BTreeSet<_> = Counter::ALL.iter().map(|c| c.name()).collect();
+    assert_eq!(names.len(), Counter::ALL.len());
+    for counter in Counter::ALL {
+        assert_eq!(counter.name().parse::<Counter>(), Ok(*counter));
+        assert!(counter.about().ends_with('.'), "{counter}");
+        assert!(!counter.unit().is_empty(), "{counter}");
+    }
+}
+
+/// Guards against a counter that changes the value of another one.
+#[test]
+fn counters_are_independent() {
+    let counters = Counters::default();
+    for (n, counter) in Counter::ALL.iter().enumerate() {
+        match counter.sort() {
+            Sort::Total => counters.add(*counter, n as u64),
+            Sort::Gauge => counters.set(*counter, n as u64),
+        }
+    }
+    for (n, (counter, value)) in counters.iter().enumerate() {
+        assert_eq!(value, n as u64, "{counter}");
+    }
+}
+
+/// Guards against a journal that grows without bound or drops the newest decisions.
+#[test]
+fn decisions_are_bounded() {
+    let start = Instant::now();
+    let mut journal = Journal::new(start);
+    for n in 0..DECISIONS + 5 {
+        let now = start + Duration::from_millis(n as u64);
+        journal.decide(now, Change::Ejected, format!("u{n}"), "5 failures");
+    }
+    let kept: Vec<_> = journal.decisions().collect();
+    assert_eq!(kept.len(), DECISIONS);
+    assert_eq!((kept[0].at_ms, kept[0].subject.as_ref()), (5, "u5"));
+    assert_eq!(kept[DECISIONS - 1].at_ms, DECISIONS as u64 + 4);
+}
+
+/// Guards against a request table that grows with traffic, and steps that hide the end.
+#[test]
+fn requests_are_bounded() {
+    let start = Instant::now();
+    let mut journal = Journal::new(start);
+    for n in 0..REQUESTS + 3 {
+        journal.request(start, root(n), Step::Cancelled);
+    }
+    assert_eq!(journal.requests(), REQUESTS);
+    assert_eq!(journal.dropped(), 3);
+    assert!(journal.why(&root(2)).is_empty());
+    assert_eq!(journal.why(&root(3)).len(), 1);
+
+    let last = Step::Answered {
+        outcome: "failed".into(),
+        status: 502,
+    };
+    for _ in 0..2 * STEPS {
+        journal.request(start, root(7), Step::Admitted { waited_us: 3 });
+    }
+    journal.request(start, root(7), last.clone());
+    let events = journal.why(&root(7));
+    assert_eq!(events.len(), STEPS);
+    assert_eq!(events[STEPS - 1].step, last);
+}
+
+/// Guards against a dump that the dump command cannot read back.
+#[test]
+fn events_survive_json() {
+    let start = Instant::now();
+    let mut journal = Journal::new(start);
+    let service = "bookings".parse().expect("valid name");
+    let class = "booking".parse().expect("valid name");
+    let step = Step::Arrived {
+        listener: "public".into(),
+        service,
+        class,
+        priority: 9,
+    };
+    journal.request(start + Duration::from_micros(12), root(1), step);
+    journal.decide(start, Change::ServerLost, "server", "reset");
+    let events = journal.why(&root(1)).to_vec();
+    let text = serde_json::to_string(&events).expect("events encode");
+    let back: Vec<comfreybay::state::journal::Event> =
+        serde_json::from_str(&text).expect("events decode");
+    assert_eq!(back, events);
+    let decision = journal.decisions().next().expect("one decision").clone();
+    let text = serde_json::to_string(&decision).expect("decisions encode");
+    assert!(text.contains("\"server-lost\""), "{text}");
+}
