Add in-memory network and hosts

Experiments run real node code under tokio's paused clock, so they need connections with latency, loss and cuts, and processes that can be paused and crashed.

--- /dev/null
+++ b/src/transport/memory/host.rs
@@ -0,0 +1,124 @@
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, Waker},
+};
+
+use tokio::task::LocalSet;
+
+/// How the run of a host ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Its main future returned.
+    Done,
+    /// It was crashed.
+    Crashed,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    crashed: Cell<bool>,
+    paused: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+/// Handle on one process in memory; cheap to clone.
+///
+/// Connections of a crashed process are reset instead of being closed.
+#[derive(Debug, Clone, Default)]
+pub struct Process(Rc<Shared>);
+
+impl Process {
+    /// Stops polling the process; its connections stay open and its listeners keep their backlog.
+    pub fn pause(&self) {
+        self.0.paused.set(true);
+    }
+
+    /// Polls the process again.
+    pub fn resume(&self) {
+        self.0.paused.set(false);
+        self.wake();
+    }
+
+    /// Drops all tasks of the process; its connections are reset.
+    pub fn crash(&self) {
+        self.0.crashed.set(true);
+        self.wake();
+    }
+
+    /// Whether the process was crashed.
+    pub fn crashed(&self) -> bool {
+        self.0.crashed.get()
+    }
+
+    /// Whether the process is paused.
+    pub fn paused(&self) -> bool {
+        self.0.paused.get()
+    }
+
+    fn wake(&self) {
+        if let Some(waker) = self.0.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+type Main = Pin<Box<dyn Future<Output = ()>>>;
+
+/// The tasks of one process: a `LocalSet` that is not polled while the process is paused and is
+/// dropped when it crashes or its main future returns.
+pub struct Host {
+    process: Process,
+    set: Option<LocalSet>,
+    main: Option<Main>,
+}
+
+impl Host {
+    /// A host that runs `main`; tasks that `main` spawns with `spawn_local` belong to it.
+    pub fn new(process: Process, main: impl Future<Output = ()> + 'static) -> Self {
+        Self {
+            process,
+            set: Some(LocalSet::new()),
+            main: Some(Box::pin(main)),
+        }
+    }
+
+    fn clear(&mut self) {
+        self.main = None;
+        self.set = None;
+    }
+}
+
+impl Future for Host {
+    type Output = Ended;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Ended> {
+        let this = &mut *self;
+        if this.process.crashed() {
+            this.clear();
+            return Poll::Ready(Ended::Crashed);
+        }
+        *this.process.0.waker.borrow_mut() = Some(cx.waker().clone());
+        if this.process.paused() {
+            return Poll::Pending;
+        }
+        let (Some(set), Some(main)) = (&mut this.set, &mut this.main) else {
+            return Poll::Ready(Ended::Done);
+        };
+        let ended = {
+            let run = std::pin::pin!(set.run_until(main));
+            run.poll(cx).is_ready()
+        };
+        if this.process.crashed() {
+            this.clear();
+            return Poll::Ready(Ended::Crashed);
+        }
+        if !ended {
+            return Poll::Pending;
+        }
+        this.clear();
+        Poll::Ready(Ended::Done)
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,4 +1,5 @@
 //! Networks, listeners and connections.
 
+pub mod memory;
 pub mod net;
 pub mod tcp;
