--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,1 +1,5 @@
 //! Decisions: admission, routing, retries, acceptance of configuration, membership.
+
+pub mod follow;
+pub mod leave;
+pub mod membership;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,4 +3,11 @@
 pub mod call;
 pub mod header;
 pub mod hop;
+pub mod message;
 pub mod outcome;
+/// Generated from `peer.capnp` by `tools/schema`.
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::all, reason = "generated code")]
+pub mod peer_capnp;
+pub mod platform;
+pub mod report;
--- a/src/protocol/peer.capnp
+++ b/src/protocol/peer.capnp
@@ -70,8 +70,9 @@
 }
 
 interface Node {
-  hello @0 (hello :Hello) -> (hello :Hello, status :Status, accepted :Bool);
-  # Asks for a peer link. Heartbeats count only on an accepted link.
+  hello @0 (hello :Hello) -> (hello :Hello, status :Status, accepted :Bool, seen :UInt16);
+  # Asks for a peer link. Heartbeats count only on an accepted link. `seen` is the caller's own
+  # condition as the answering node knows it: 0 unknown, 1 alive, 2 down, 3 leaving.
 
   beat @1 (beat :Beat) -> (beat :Beat);
   # Exchanges heartbeats.
--- a/src/protocol/peer_capnp.rs
+++ b/src/protocol/peer_capnp.rs
@@ -2993,6 +2993,10 @@
             pub fn get_accepted(self) -> bool {
                 self.reader.get_bool_field(0)
             }
+            #[inline]
+            pub fn get_seen(self) -> u16 {
+                self.reader.get_data_field::<u16>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3087,6 +3091,14 @@
             pub fn set_accepted(&mut self, value: bool)  {
                 self.builder.set_bool_field(0, value);
             }
+            #[inline]
+            pub fn get_seen(self) -> u16 {
+                self.builder.get_data_field::<u16>(1)
+            }
+            #[inline]
+            pub fn set_seen(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3104,7 +3116,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(186, 131, 97, 30, 221, 90, 190, 176),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
@@ -3114,35 +3126,42 @@
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(104, 101, 108, 108, 111, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 101, 108, 108, 111, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(179, 203, 196, 99, 180, 33, 102, 176),
@@ -3168,12 +3187,21 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::protocol::peer_capnp::hello::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::protocol::peer_capnp::status::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3187,9 +3215,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
             pub(crate) const TYPE_ID: u64 = 0xb0be_5add_1e61_83ba;
         }
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -10,5 +10,6 @@
 pub mod publication;
 pub mod settings;
 pub mod store;
+pub mod view;
 
 pub use error::{Error, Result};
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod memory;
 pub mod net;
+pub mod platform;
 pub mod tcp;
