Add decision interfaces in a simple form

Change: allowance, retry budget, retry policy, tickets, held callers, suspects and the wait queue as designed; limit, level, gate and router in a simple form. The gate also has apply(), the router budget(), and Why the value Down for a backend server that is known to be down.

--- /dev/null
+++ b/src/coordination/gate.rs
@@ -0,0 +1,249 @@
+//! Admission of calls to the node's own backend server.
+
+mod core;
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout_at},
+};
+
+use self::core::{Core, Entered};
+use crate::state::{
+    config::Config,
+    id::{ClassName, Fingerprint, UpstreamName},
+    limit::End,
+    object::{Control, Favour},
+    priority::{Level, Priority},
+    queue::Place,
+    suspect::SuspectNews,
+    upstream::Load,
+};
+
+/// A call that asks to be admitted.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Its priority.
+    pub priority: Priority,
+    /// Its class.
+    pub class: ClassName,
+    /// Whether the class is important.
+    pub important: bool,
+    /// When its answer is due.
+    pub deadline: Instant,
+    /// The whole deadline of the class; the wait in the queue is a part of it.
+    pub span: Duration,
+    /// Fingerprint of method, path and body.
+    pub fingerprint: Fingerprint,
+}
+
+/// Why a call was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// The admission level excludes it.
+    Level,
+    /// The queue is full of better calls.
+    Evicted,
+    /// It waited as long as it may.
+    Waited,
+    /// Too little time is left to run it.
+    Deadline,
+    /// The node is leaving.
+    Leaving,
+    /// The process was paused and is catching up.
+    Waking,
+    /// It crashed backend servers; earlier attempts ran.
+    Convicted,
+    /// Its class uses all that a `Limit` object grants.
+    ClassLimit,
+    /// No configuration is in effect yet.
+    NoConfig,
+    /// The backend server is down.
+    Down,
+}
+
+/// A refusal: the call was not dispatched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// The reason.
+    pub why: Why,
+    /// Time that the caller is asked to wait.
+    pub retry_after: Duration,
+}
+
+/// What the gate may admit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum GateState {
+    /// Nothing, until a configuration is in effect.
+    Starting,
+    /// All calls within the limit.
+    Serving,
+    /// Nothing, until the node has caught up after a pause.
+    Waking,
+    /// No new calls; calls that wait are still served.
+    Leaving,
+}
+
+/// Admission to one backend server. A clone shares the state.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    core: Rc<RefCell<Core>>,
+}
+
+impl Gate {
+    /// The gate of a cold server; it refuses calls until [`Gate::set_state`] says `Serving`.
+    pub fn new(slots: u32, favour: Favour, control: Control, rng: fastrand::Rng) -> Self {
+        let core = Core::new(slots, favour, control, rng, Instant::now());
+        Self {
+            core: Rc::new(RefCell::new(core)),
+        }
+    }
+
+    /// Takes over slots, class limits, favour and control of a configuration.
+    pub fn apply(&self, own: &UpstreamName, config: &Config) {
+        self.core.borrow_mut().apply(own, config, Instant::now());
+        self.dispatch();
+    }
+
+    /// Admits a call now or after a wait in the queue.
+    ///
+    /// # Errors
+    /// The call is refused and was not dispatched.
+    pub async fn admit(&self, ask: Ask) -> Result<Permit, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let entered = self.core.borrow_mut().enter(ask, sender, Instant::now());
+        let (place, until) = match entered {
+            Entered::Admitted(id) => return Ok(self.permit(id)),
+            Entered::Refused(refusal) => return Err(refusal),
+            Entered::Waiting(place, until) => (place, until),
+            Entered::Evicted(place, until, evicted, refusal) => {
+                // A receiver that is gone needs no answer.
+                let _ = evicted.send(Err(refusal));
+                (place, until)
+            }
+        };
+        let _waiting = Waiting { gate: self, place };
+        match timeout_at(until, receiver).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Err(self.core.borrow_mut().timed_out(&place, Instant::now())),
+        }
+    }
+
+    /// Recomputes the level and applies the wait limits; called every 100 ms.
+    pub fn tick(&self) {
+        let refused = self.core.borrow_mut().tick(Instant::now());
+        for (reply, refusal) in refused {
+            let _ = reply.send(Err(refusal));
+        }
+        self.dispatch();
+    }
+
+    /// The current load.
+    pub fn load(&self) -> Load {
+        self.core.borrow().load()
+    }
+
+    /// The current admission level.
+    pub fn level(&self) -> Level {
+        self.core.borrow().level()
+    }
+
+    /// Sets what may be admitted.
+    pub fn set_state(&self, state: GateState) {
+        let refused = self.core.borrow_mut().set_state(state, Instant::now());
+        for (reply, refusal) in refused {
+            let _ = reply.send(Err(refusal));
+        }
+        self.dispatch();
+    }
+
+    /// Records that the server's connections died; gives the requests that were in flight.
+    ///
+    /// Each becomes a suspect, and a suspect among them is convicted. Calls are refused as
+    /// [`Why::Down`] until [`Gate::server_restarted`].
+    pub fn server_lost(&self) -> Vec<Fingerprint> {
+        let (lost, refused) = self.core.borrow_mut().server_lost(Instant::now());
+        for (reply, refusal) in refused {
+            let _ = reply.send(Err(refusal));
+        }
+        lost
+    }
+
+    /// Records that the server accepts connections again; its limit starts cold.
+    pub fn server_restarted(&self) {
+        self.core.borrow_mut().server_restarted(Instant::now());
+        self.dispatch();
+    }
+
+    /// Suspects and convictions known here, to be passed on.
+    pub fn suspects(&self) -> SuspectNews {
+        self.core.borrow().suspects(Instant::now())
+    }
+
+    /// Takes over suspects and convictions of another node.
+    pub fn learn_suspects(&self, news: &SuspectNews) {
+        self.core.borrow_mut().learn_suspects(news, Instant::now());
+    }
+
+    fn permit(&self, id: u64) -> Permit {
+        Permit {
+            gate: self.clone(),
+            id,
+            ended: false,
+        }
+    }
+
+    /// Answers waiting calls while the limit has room. No borrow is held while answering,
+    /// because a call that is gone returns its permit at once.
+    fn dispatch(&self) {
+        loop {
+            let next = self.core.borrow_mut().next(Instant::now());
+            let Some((reply, decision)) = next else {
+                return;
+            };
+            let _ = reply.send(decision.map(|id| self.permit(id)));
+        }
+    }
+
+    fn end(&self, id: u64, own: Duration, end: End) {
+        self.core.borrow_mut().end(id, own, end, Instant::now());
+        self.dispatch();
+    }
+}
+
+/// Removes a waiting call whose future ended.
+struct Waiting<'a> {
+    gate: &'a Gate,
+    place: Place,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.gate.core.borrow_mut().leave(&self.place);
+    }
+}
+
+/// Permission to dispatch one call. Dropping it counts as a cancelled call.
+#[derive(Debug)]
+pub struct Permit {
+    gate: Gate,
+    id: u64,
+    ended: bool,
+}
+
+impl Permit {
+    /// Records the end of the call, which spent `own` in the server without its egress calls.
+    pub fn finish(mut self, own: Duration, end: End) {
+        self.ended = true;
+        self.gate.end(self.id, own, end);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.gate.end(self.id, Duration::ZERO, End::Cancelled);
+        }
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,1 +1,5 @@
 //! Decisions: admission, routing, retries, acceptance of configuration, membership.
+
+pub mod gate;
+pub mod retry;
+pub mod router;
--- /dev/null
+++ b/src/coordination/retry.rs
@@ -0,0 +1,87 @@
+//! When and after what delay a call is attempted again.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::router::Attempt;
+use crate::state::{allowance::Allowance, budget::RetryBudget, object::Control};
+
+/// Shortest delay before the first retry.
+const DELAY_MIN_MS: f64 = 5.0;
+/// Longest delay before the first retry; both bounds double with each retry.
+const DELAY_MAX_MS: f64 = 25.0;
+/// Extra tries per hop when control is off.
+const UNCONTROLLED_RETRIES: u32 = 2;
+
+/// Retry policy of one call at one hop.
+#[derive(Debug)]
+pub struct Retry {
+    repeatable: bool,
+    important: bool,
+    deadline: Instant,
+    control: Control,
+    rng: fastrand::Rng,
+    retries: u32,
+}
+
+impl Retry {
+    /// The policy for a call with this deadline.
+    pub fn new(repeatable: bool, deadline: Instant, control: Control, rng: fastrand::Rng) -> Self {
+        Self {
+            repeatable,
+            important: false,
+            deadline,
+            control,
+            rng,
+            retries: 0,
+        }
+    }
+
+    /// Sets whether the class is important, which may use the reserved part of the budget.
+    pub fn important(mut self, important: bool) -> Self {
+        self.important = important;
+        self
+    }
+
+    /// The delay before the next attempt, or `None` when the call ends with this attempt.
+    ///
+    /// The retry is charged to the allowance and the budget when a delay is given.
+    pub fn delay(
+        &mut self,
+        attempt: Attempt,
+        allowance: &mut Allowance,
+        budget: &mut RetryBudget,
+        now: Instant,
+    ) -> Option<Duration> {
+        if !self.allows(attempt) {
+            return None;
+        }
+        let scale = f64::from(1 << self.retries.min(10));
+        let spread = DELAY_MIN_MS + (DELAY_MAX_MS - DELAY_MIN_MS) * self.rng.f64();
+        let delay = Duration::from_secs_f64(spread * scale / 1_000.0);
+        if now + delay >= self.deadline || !self.charge(allowance, budget) {
+            return None;
+        }
+        self.retries += 1;
+        Some(delay)
+    }
+
+    fn allows(&self, attempt: Attempt) -> bool {
+        match attempt {
+            Attempt::Answered | Attempt::Cancelled => false,
+            // Nothing of the request was sent, or the upstream proved that it did not run.
+            Attempt::NotRun | Attempt::Unreachable => true,
+            // The request itself may be what crashes servers.
+            Attempt::Lost => self.control == Control::Off && self.repeatable,
+            Attempt::TimedOut => self.repeatable,
+        }
+    }
+
+    fn charge(&self, allowance: &mut Allowance, budget: &mut RetryBudget) -> bool {
+        if self.control == Control::Off {
+            return self.retries < UNCONTROLLED_RETRIES;
+        }
+        allowance.left() > 0 && budget.spend(self.important) && allowance.spend()
+    }
+}
--- /dev/null
+++ b/src/state/level.rs
@@ -0,0 +1,82 @@
+//! Admission levels: the threshold of one gate and what is known about other services.
+
+use std::{collections::BTreeMap, fmt, str::FromStr};
+
+use super::{
+    Error, Result,
+    id::ServiceName,
+    priority::{Level, Priority},
+};
+
+/// Levels by service, written as `service=level` joined by `;`.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Levels(pub BTreeMap<ServiceName, Level>);
+
+/// Services in one text; a chain is at most 7 deep and a longer text is refused.
+const SERVICES_MAX: usize = 64;
+
+impl fmt::Display for Levels {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (n, (service, level)) in self.0.iter().enumerate() {
+            let separator = if n == 0 { "" } else { ";" };
+            write!(f, "{separator}{service}={level}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Levels {
+    type Err = Error;
+
+    /// ```
+    /// use comfreybay::state::level::Levels;
+    /// let levels: Levels = "a=7;b=4294967295".parse().unwrap();
+    /// assert_eq!(levels.to_string(), "a=7;b=4294967295");
+    /// assert!("a:7".parse::<Levels>().is_err());
+    /// ```
+    fn from_str(text: &str) -> Result<Self> {
+        let fault = || Error::Number {
+            what: "levels",
+            text: text.chars().take(256).collect(),
+        };
+        let mut levels = BTreeMap::new();
+        for part in text.split(';').filter(|p| !p.is_empty()) {
+            let (service, level) = part.split_once('=').ok_or_else(fault)?;
+            let service: ServiceName = service.parse().map_err(|_| fault())?;
+            levels.insert(service, level.parse().map_err(|_| fault())?);
+            if levels.len() > SERVICES_MAX {
+                return Err(fault());
+            }
+        }
+        Ok(Self(levels))
+    }
+}
+
+/// Computes the level of one gate from its arrivals and completions.
+#[derive(Debug, Default)]
+pub struct LevelMeter {
+    arrivals: u32,
+    completions: u32,
+}
+
+impl LevelMeter {
+    /// A meter with an open level.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts an arrival.
+    pub fn arrived(&mut self, _priority: Priority) {
+        self.arrivals += 1;
+    }
+
+    /// Counts a completed request.
+    pub fn completed(&mut self) {
+        self.completions += 1;
+    }
+
+    /// The current level.
+    pub fn level(&self) -> Level {
+        Level::OPEN
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,11 +1,20 @@
 //! Domain types and tables. Nothing in this layer performs I/O.
 
+pub mod allowance;
+pub mod budget;
 pub mod config;
 mod error;
+pub mod held;
 pub mod id;
+pub mod level;
+pub mod limit;
 pub mod object;
 pub mod priority;
 pub mod publication;
+pub mod queue;
 pub mod settings;
+pub mod suspect;
+pub mod ticket;
+pub mod upstream;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/src/state/upstream.rs
@@ -0,0 +1,47 @@
+//! Upstreams of one service as this node measures them.
+
+use std::{fmt, str::FromStr};
+
+use super::{Error, Result};
+
+/// Load of one upstream, written as `in_flight/limit/queued`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Calls in its backend server.
+    pub in_flight: u32,
+    /// Its concurrency limit.
+    pub limit: u32,
+    /// Calls that wait at its gate.
+    pub queued: u32,
+}
+
+impl fmt::Display for Load {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.in_flight, self.limit, self.queued)
+    }
+}
+
+impl FromStr for Load {
+    type Err = Error;
+
+    /// ```
+    /// use comfreybay::state::upstream::Load;
+    /// let load: Load = "3/10/0".parse().unwrap();
+    /// assert_eq!(load.to_string(), "3/10/0");
+    /// assert!("3/10".parse::<Load>().is_err());
+    /// ```
+    fn from_str(text: &str) -> Result<Self> {
+        let fault = || Error::Number {
+            what: "load",
+            text: text.chars().take(64).collect(),
+        };
+        let mut parts = text.split('/').map(|p| p.parse().ok());
+        let mut next = || parts.next().flatten().ok_or_else(fault);
+        let load = Self {
+            in_flight: next()?,
+            limit: next()?,
+            queued: next()?,
+        };
+        parts.next().is_none().then_some(load).ok_or_else(fault)
+    }
+}
