--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -7,7 +7,7 @@
 pub mod outcome;
 /// Generated from `peer.capnp` by `tools/schema`.
 #[rustfmt::skip]
-#[allow(missing_docs, clippy::all, reason = "generated code")]
+#[allow(missing_docs, clippy::all, clippy::unimplemented, reason = "generated code")]
 pub mod peer_capnp;
 pub mod platform;
 pub mod report;
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -48,9 +48,11 @@
     pub body: Option<Bytes>,
 }
 
+type Driver<C> = Pin<Box<Connection<TokioIo<C>, Empty<Bytes>>>>;
+
 struct Session<N: Net> {
     sender: SendRequest<Empty<Bytes>>,
-    conn: Pin<Box<Connection<TokioIo<N::Conn>, Empty<Bytes>>>>,
+    conn: Driver<N::Conn>,
 }
 
 /// Reads from one service of the platform over one persistent HTTP/1.1 connection.
