Add the control plane (not yet tested)

Cause: nodes need membership and configuration. Change: capnp-rpc links, heartbeats, news, readers, empty start, waking, leaving.

--- a/src/coordination/follow.rs
+++ b/src/coordination/follow.rs
@@ -143,6 +143,11 @@
         self.digest
     }
 
+    /// Digest of the bucket at an index.
+    pub fn bucket(&self, at: usize) -> Option<Digest> {
+        self.head.buckets.get(at).copied()
+    }
+
     /// The parts to fetch next; empty when all parts that the node needs are present.
     ///
     /// Which pieces are needed is known only once the own piece and the buckets are present, so
@@ -347,6 +352,11 @@
         self.floor.set(Some(floor));
     }
 
+    /// Starts the empty start over, as after a pause: the answers so far may be out of date.
+    pub fn close(&self) {
+        self.floor.set(None);
+    }
+
     /// Whether the empty start has ended.
     pub fn is_open(&self) -> bool {
         self.floor.get().is_some()
--- /dev/null
+++ b/src/transport/control/mod.rs
@@ -0,0 +1,90 @@
+//! The control plane of a node: peers, configuration, membership and leaving.
+
+mod clock;
+mod follow;
+mod hear;
+mod link;
+mod read;
+mod server;
+mod share;
+mod start;
+
+use std::{cell::RefCell, io, rc::Rc};
+
+use thiserror::Error;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    coordination::{gate::Gate, router::Router},
+    state::{
+        counters::Counters, id::Incarnation, journal::Journal, settings::Settings,
+        store::ConfigStore,
+    },
+    transport::net::Net,
+};
+use share::Shared;
+
+/// Errors of the control plane.
+#[derive(Debug, Error)]
+pub enum ControlError {
+    /// The control address cannot be bound.
+    #[error("could not listen for control messages: {0}")]
+    Bind(io::Error),
+}
+
+/// Result of the control plane.
+pub type Result<T, E = ControlError> = std::result::Result<T, E>;
+
+/// What the control plane of a node works with.
+pub struct Control<N: Net> {
+    /// Network of the host.
+    pub net: N,
+    /// Settings of the process.
+    pub settings: Settings,
+    /// The configuration in effect; only the control plane changes it.
+    pub store: Rc<ConfigStore>,
+    /// Admission to the backend server; receives state, configuration and suspects.
+    pub gate: Gate,
+    /// Choice of upstream; receives configuration, loads, leaving nodes and the instance list.
+    pub router: Router,
+    /// Counters.
+    pub counters: Rc<Counters>,
+    /// Journal of decisions.
+    pub journal: Rc<RefCell<Journal>>,
+    /// Random generator, seeded from the settings.
+    pub rng: fastrand::Rng,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// Cancelled when the node is to leave: by the owner when the process is told to stop, by the
+    /// control plane when the backend server drains or the instance list says leaving.
+    pub leaving: CancellationToken,
+}
+
+/// Runs the control plane until `stop` is cancelled; returns after all its tasks have ended.
+///
+/// # Errors
+/// The control address cannot be bound.
+pub async fn run<N: Net>(control: Control<N>, stop: CancellationToken) -> Result<()> {
+    let listener = control.net.bind(control.settings.control).await;
+    let listener = listener.map_err(ControlError::Bind)?;
+    let shared = Shared::new(control);
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(server::accept(shared.clone(), listener, stop.clone()));
+    tasks.spawn_local(clock::watch(shared.clone(), stop.clone()));
+    tasks.spawn_local(start::run(shared.clone(), stop.clone()));
+    tasks.spawn_local(link::manage(shared.clone(), stop.clone()));
+    tasks.spawn_local(follow::run(shared.clone(), stop.clone()));
+    tasks.spawn_local(read::configuration(shared.clone(), stop.clone()));
+    tasks.spawn_local(read::instances(shared.clone(), stop.clone()));
+    tasks.spawn_local(read::reports(shared.clone(), stop.clone()));
+    tasks.spawn_local(clock::leave(shared, stop));
+    while let Some(ended) = tasks.join_next().await {
+        if let Err(e) = ended
+            && e.is_panic()
+        {
+            std::panic::resume_unwind(e.into_panic());
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/transport/control/read.rs
@@ -0,0 +1,241 @@
+//! Reads of the configuration service, the instance list and the server report.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    follow::{self, Patience, READ_MS},
+    link::within,
+    share::Shared,
+};
+use crate::{
+    coordination::membership::reads_list,
+    protocol::{
+        message::ListView,
+        platform::{
+            InstanceState, LIST_MAX_BYTES, VALUE_MAX_BYTES, head_path, list_path, read_list,
+            wait_path,
+        },
+        report::{PATH, REPORT_MAX_BYTES, ServerReport},
+    },
+    state::{
+        counters::Counter,
+        id::UpstreamName,
+        view::{NodeState, Seen},
+    },
+    transport::{
+        net::Net,
+        platform::{Answer, PlatformClient},
+    },
+};
+
+/// Longest wait of one watch of the head.
+const WATCH_S: u64 = 20;
+/// Time in which a reader checks whether it still is one.
+const CHECK_MS: u64 = 500;
+const BACKOFF_MIN_MS: u64 = 500;
+const BACKOFF_MAX_MS: u64 = 5_000;
+const LIST_MS: u64 = 2_000;
+/// An unchanged instance list is passed on again after this time.
+const LIST_REPEAT_S: u64 = 10;
+/// A node reads the instance list itself when none has reached it for this time.
+const LIST_SILENCE_S: u64 = 15;
+const REPORT_MS: u64 = 250;
+
+/// Watches the head while this node is a reader of its availability zone.
+pub async fn configuration<N: Net>(shared: Rc<Shared<N>>, stop: CancellationToken) {
+    loop {
+        let read = async {
+            while !shared.readers.borrow().reading() {
+                sleep(Duration::from_millis(CHECK_MS)).await;
+            }
+            watch(&shared).await;
+        };
+        tokio::select! {
+            biased;
+            () = stop.cancelled() => return,
+            () = read => {}
+        }
+    }
+}
+
+/// Reads heads until another node takes over.
+async fn watch<N: Net>(shared: &Shared<N>) {
+    let mut client = PlatformClient::new(shared.net.clone(), shared.settings.configuration);
+    let mut version: Option<String> = None;
+    let mut backoff = BACKOFF_MIN_MS;
+    while shared.readers.borrow().reading() {
+        let path = match &version {
+            Some(after) => wait_path(after, Duration::from_secs(WATCH_S)),
+            None => head_path().to_owned(),
+        };
+        shared.counters.add(Counter::ConfigReads, 1);
+        let limit = Duration::from_secs(WATCH_S) + Duration::from_millis(READ_MS);
+        let answer = tokio::select! {
+            biased;
+            answer = client.get(&path, VALUE_MAX_BYTES, limit) => answer,
+            () = replaced(shared) => return,
+        };
+        shared.check_pause();
+        let worked = answer.is_ok();
+        shared.readers.borrow_mut().read(worked, Instant::now());
+        match answer {
+            Ok(answer) => {
+                backoff = BACKOFF_MIN_MS;
+                let waits = answer.version.is_some();
+                take(shared, answer, &mut version).await;
+                if !waits {
+                    sleep(shared.jitter(BACKOFF_MIN_MS, 2 * BACKOFF_MIN_MS)).await;
+                }
+            }
+            Err(e) => {
+                log::debug!("configuration service: {e}");
+                shared.counters.add(Counter::ConfigReadsFailed, 1);
+                sleep(shared.jitter(backoff / 2, backoff)).await;
+                backoff = (2 * backoff).min(BACKOFF_MAX_MS);
+            }
+        }
+    }
+}
+
+async fn replaced<N: Net>(shared: &Shared<N>) {
+    while shared.readers.borrow().reading() {
+        sleep(Duration::from_millis(CHECK_MS)).await;
+    }
+}
+
+async fn take<N: Net>(shared: &Shared<N>, answer: Answer, version: &mut Option<String>) {
+    let Some(content) = answer.body else {
+        *version = answer.version.or(version.take());
+        return;
+    };
+    let noticed = Instant::now();
+    let taken = follow::take(shared, content, None, Patience::None, noticed).await;
+    // A head whose parts could not be read is read again.
+    *version = answer.version.filter(|_| taken.is_some());
+    if taken.is_none() {
+        sleep(shared.jitter(BACKOFF_MIN_MS, 2 * BACKOFF_MIN_MS)).await;
+    }
+}
+
+/// Reads the instance list while this node is one of the first two of its service.
+pub async fn instances<N: Net>(shared: Rc<Shared<N>>, stop: CancellationToken) {
+    let mut client = PlatformClient::new(shared.net.clone(), shared.settings.instances);
+    let mut passed: Option<(Instant, ListView)> = None;
+    let mut counter = 0;
+    let start = Instant::now();
+    loop {
+        tokio::select! {
+            biased;
+            () = stop.cancelled() => return,
+            () = sleep(shared.jitter(LIST_MS / 2, LIST_MS + LIST_MS / 2)) => {}
+        }
+        if !is_list_reader(&shared, start) {
+            continue;
+        }
+        let read = tokio::select! {
+            biased;
+            () = stop.cancelled() => return,
+            read = read_instances(&shared, &mut client, counter + 1) => read,
+        };
+        let Some(list) = read else {
+            continue;
+        };
+        let repeat = Duration::from_secs(LIST_REPEAT_S);
+        let same =
+            |(at, old): &(Instant, ListView)| at.elapsed() < repeat && old.entries == list.entries;
+        if passed.as_ref().is_some_and(same) {
+            shared.list_heard.set(Some(Instant::now()));
+            continue;
+        }
+        counter += 1;
+        shared.learn_list(&list);
+        tokio::select! {
+            biased;
+            () = stop.cancelled() => return,
+            () = pass_on(&shared, &list, None) => {}
+        }
+        passed = Some((Instant::now(), list));
+    }
+}
+
+fn is_list_reader<N: Net>(shared: &Shared<N>, start: Instant) -> bool {
+    let Some(config) = shared.store.config() else {
+        return false;
+    };
+    let heard = shared.list_heard.get().unwrap_or(start);
+    let silent = heard.elapsed() >= Duration::from_secs(LIST_SILENCE_S);
+    let view = shared.view.borrow();
+    let alive = |name: &UpstreamName| !matches!(view.seen(name), Seen::Down | Seen::Leaving);
+    let settings = &shared.settings;
+    silent || reads_list(&config, &settings.service, &settings.name, alive)
+}
+
+async fn read_instances<N: Net>(
+    shared: &Shared<N>,
+    client: &mut PlatformClient<N>,
+    counter: u32,
+) -> Option<ListView> {
+    shared.counters.add(Counter::ListReads, 1);
+    let settings = &shared.settings;
+    let path = list_path(&settings.service);
+    let limit = Duration::from_millis(READ_MS);
+    let answer = client.get(&path, LIST_MAX_BYTES, limit).await.ok()?;
+    let listed = read_list(&answer.body?)?;
+    let entry = |i: crate::protocol::platform::Instance| {
+        let leaving = i.state == InstanceState::Leaving;
+        (i.name, leaving)
+    };
+    Some(ListView {
+        service: settings.service.clone(),
+        origin: settings.name.clone(),
+        counter,
+        entries: listed.into_iter().map(entry).collect(),
+    })
+}
+
+/// Sends an instance list to the linked peers of the own service, but not back to its sender.
+pub async fn pass_on<N: Net>(shared: &Shared<N>, list: &ListView, sender: Option<&UpstreamName>) {
+    let clients: Vec<_> = {
+        let links = shared.links.borrow();
+        let own = &shared.settings.service;
+        let wants = links.values().filter(|l| l.identity.service == *own);
+        let others = wants.filter(|l| Some(&l.identity.name) != sender);
+        others.map(|l| l.client.clone()).collect()
+    };
+    let send = async |client: crate::protocol::peer_capnp::node::Client| {
+        let mut request = client.list_request();
+        list.write(request.get().init_list());
+        within(async { request.send().promise.await.map(|_| ()) }).await
+    };
+    futures::future::join_all(clients.into_iter().map(send)).await;
+}
+
+/// Polls the report of the backend server; a draining one makes the node leave.
+pub async fn reports<N: Net>(shared: Rc<Shared<N>>, stop: CancellationToken) {
+    let mut client = PlatformClient::new(shared.net.clone(), shared.settings.server);
+    let mut ticks = interval(Duration::from_millis(REPORT_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let read = async {
+            ticks.tick().await;
+            let limit = Duration::from_millis(2 * REPORT_MS);
+            timeout(limit, client.get(PATH, REPORT_MAX_BYTES, limit)).await
+        };
+        let answer = tokio::select! {
+            biased;
+            () = stop.cancelled() => return,
+            answer = read => answer,
+        };
+        let body = answer.ok().and_then(|a| a.ok()).and_then(|a| a.body);
+        let Some(report) = body.and_then(|b| ServerReport::read(&b)) else {
+            continue;
+        };
+        if shared.state.get() != NodeState::Leaving {
+            shared.leave.borrow_mut().reported(report.draining);
+            shared.check_leave();
+        }
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Networks, listeners and connections.
 
+pub mod control;
 pub mod memory;
 pub mod net;
 pub mod platform;
