--- /dev/null
+++ b/src/transport/attempts.rs
@@ -0,0 +1,150 @@
+//! The attempt loop of a call to a service.
+
+use std::{cell::RefCell, collections::BTreeSet};
+
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    coordination::{retry::Retry, router::Pick},
+    protocol::outcome::Outcome,
+    state::{
+        allowance::Allowance,
+        counters::Counter,
+        id::{CallToken, ServiceName, UpstreamName},
+        journal::Step,
+    },
+};
+
+use super::{
+    net::Net,
+    node::{Parts, Path},
+    remote,
+    reply::Reply,
+    serve::{Order, serve},
+};
+
+/// Where the allowance of a call is held.
+pub trait Purse {
+    /// Applies `change` to the allowance; `None` when the call that holds it has ended.
+    fn with<T>(&self, change: impl FnOnce(&mut Allowance) -> T) -> Option<T>;
+}
+
+impl Purse for RefCell<Allowance> {
+    fn with<T>(&self, change: impl FnOnce(&mut Allowance) -> T) -> Option<T> {
+        Some(change(&mut self.borrow_mut()))
+    }
+}
+
+/// The allowance of a call in the call table.
+pub struct Tabled<'a> {
+    /// The node's parts.
+    pub parts: &'a Parts,
+    /// Token of the call.
+    pub token: CallToken,
+}
+
+impl Purse for Tabled<'_> {
+    fn with<T>(&self, change: impl FnOnce(&mut Allowance) -> T) -> Option<T> {
+        let mut calls = self.parts.calls.borrow_mut();
+        calls.get(&self.token).map(|c| change(&mut c.allowance))
+    }
+}
+
+/// Sends a call to a service, and again to other upstreams as far as rules allow.
+pub async fn run<N: Net>(
+    path: &Path<N>,
+    service: &ServiceName,
+    order: &Order,
+    purse: &impl Purse,
+    first_local: bool,
+) -> Reply {
+    let parts = &path.parts;
+    let config = parts.store.config();
+    let control = config.map(|c| c.deployment.control).unwrap_or_default();
+    let class = &order.class;
+    let mut retry = Retry::new(class.repeatable, order.deadline, control, parts.fork())
+        .important(class.important);
+    parts.budget(service, |b| b.first());
+    let mut tried = BTreeSet::new();
+    let mut target = first(parts, service, order, first_local);
+    loop {
+        let Some(to) = target else {
+            parts.counters.add(Counter::RefusedNoRoute, 1);
+            let left = purse.with(|a| a.left()).unwrap_or(0);
+            return Reply::not_run(left, "no-upstream", parts.pause());
+        };
+        let reply = attempt(path, to, order, purse, &mut tried).await;
+        if reply.outcome == Outcome::Complete {
+            return reply;
+        }
+        target = pick(parts, service, order, &tried);
+        if target.is_none() {
+            return reply;
+        }
+        let now = Instant::now();
+        let charge = |a: &mut Allowance| {
+            let delay = parts.budget(service, |b| retry.delay(reply.attempt(), a, b, now));
+            delay.map(|d| (d, a.left()))
+        };
+        let Some((delay, left)) = purse.with(charge).flatten() else {
+            return reply;
+        };
+        let delay_ms = delay.as_millis() as u64;
+        parts.note(order.root, Step::Retry { delay_ms, left });
+        parts.counters.add(Counter::RetriesSent, 1);
+        sleep(delay).await;
+    }
+}
+
+enum Target {
+    Own,
+    Peer(Pick),
+}
+
+fn first(
+    parts: &Parts,
+    service: &ServiceName,
+    order: &Order,
+    first_local: bool,
+) -> Option<Target> {
+    if first_local {
+        return Some(Target::Own);
+    }
+    pick(parts, service, order, &BTreeSet::new())
+}
+
+fn pick(
+    parts: &Parts,
+    service: &ServiceName,
+    order: &Order,
+    tried: &BTreeSet<UpstreamName>,
+) -> Option<Target> {
+    let pick = parts.router.pick(service, order.priority, tried)?;
+    if pick.upstream().name != parts.settings.name {
+        return Some(Target::Peer(pick));
+    }
+    Some(Target::Own)
+}
+
+async fn attempt<N: Net>(
+    path: &Path<N>,
+    to: Target,
+    order: &Order,
+    purse: &impl Purse,
+    tried: &mut BTreeSet<UpstreamName>,
+) -> Reply {
+    let lent = purse.with(|a| a.lend()).unwrap_or(0);
+    let order = Order { allowance: lent, ..order.clone() };
+    let reply = match to {
+        Target::Own => {
+            tried.insert(path.parts.settings.name.clone());
+            serve(path, &order).await
+        }
+        Target::Peer(pick) => {
+            tried.insert(pick.upstream().name.clone());
+            remote::send(path, pick, &order, None).await
+        }
+    };
+    purse.with(|a| a.settle(lent, reply.unused));
+    reply
+}
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -56,10 +56,23 @@
     Empty,
 }
 
+/// How a streamed body ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// It was read to its proven end.
+    Whole,
+    /// The connection that it came from failed, or it ended early.
+    Broken,
+    /// The deadline passed.
+    Late,
+    /// The caller disconnected.
+    Dropped,
+}
+
 /// Something to settle once a streamed body has ended.
 pub trait Finish {
-    /// Called once; `whole` tells whether the body was read to its proven end.
-    fn finish(self, whole: bool);
+    /// Called once.
+    fn finish(self, ending: Ending);
 }
 
 /// A body of which all bytes so far are in memory.
@@ -214,23 +227,23 @@
 type Polled = Poll<Option<Result<Frame<Bytes>, BodyError>>>;
 
 impl<G: Finish> Stream<G> {
-    fn settle(&mut self, whole: bool) {
+    fn settle(&mut self, ending: Ending) {
         self.ended = true;
         if let Some(guard) = self.guard.take() {
-            guard.finish(whole);
+            guard.finish(ending);
         }
     }
 
     /// Settles at the announced length, since the HTTP library does not poll past it.
     fn settle_at_length(&mut self) {
         if self.chunks.is_empty() && self.framing == Framing::Length(self.size) {
-            self.settle(true);
+            self.settle(Ending::Whole);
         }
     }
 
     fn end(&mut self) -> Polled {
         let whole = is_whole(self.framing, self.size, self.announced);
-        self.settle(whole);
+        self.settle(if whole { Ending::Whole } else { Ending::Broken });
         if !whole {
             return Poll::Ready(Some(Err(BodyError::Short(self.size))));
         }
@@ -252,7 +265,7 @@
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
         if self.deadline.as_mut().poll_ready(cx) {
-            self.settle(false);
+            self.settle(Ending::Late);
             return Poll::Ready(Some(Err(BodyError::TimedOut)));
         }
         loop {
@@ -262,7 +275,7 @@
             let frame = match frame {
                 Ok(frame) => frame,
                 Err(error) => {
-                    self.settle(false);
+                    self.settle(Ending::Broken);
                     return Poll::Ready(Some(Err(error.into())));
                 }
             };
@@ -317,7 +330,7 @@
 impl<G: Finish> Drop for Stream<G> {
     fn drop(&mut self) {
         if let Some(guard) = self.guard.take() {
-            guard.finish(false);
+            guard.finish(Ending::Dropped);
         }
     }
 }
--- /dev/null
+++ b/src/transport/link.rs
@@ -0,0 +1,152 @@
+//! HTTP/2 connections to other nodes, one to each.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http2::{self, SendRequest},
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use thiserror::Error;
+use tokio::{sync::Mutex, time::timeout};
+
+use crate::state::counters::{Counter, Counters};
+
+use super::{net::Net, server::HEAD_MAX_BYTES, tasks::Tasks};
+
+const DIAL_WAIT_MS: u64 = 500;
+const ALIVE_INTERVAL_MS: u64 = 1_000;
+// A paused or cut-off peer is given up after this, as are the calls on its connection.
+const ALIVE_TIMEOUT_MS: u64 = 2_000;
+const STREAM_WINDOW_BYTES: u32 = 256 * 1_024;
+const CONNECTION_WINDOW_BYTES: u32 = 4 * 1_024 * 1_024;
+
+/// Why a request got no answer from a peer or a backend server.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// Nothing of the request was sent.
+    #[error("could not reach {0}")]
+    Unreachable(SocketAddr),
+    /// The connection ended after the request was handed to it; it may have run.
+    #[error("could not read the answer of {0}: {1}")]
+    Lost(SocketAddr, hyper::Error),
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+#[derive(Debug, Default)]
+struct Link {
+    sender: RefCell<Option<Sender>>,
+    dial: Mutex<()>,
+}
+
+impl Link {
+    fn open(&self) -> Option<Sender> {
+        let sender = self.sender.borrow();
+        sender.as_ref().filter(|s| !s.is_closed()).cloned()
+    }
+}
+
+/// Connections to other nodes.
+#[derive(Debug)]
+pub struct Links<N> {
+    net: N,
+    links: RefCell<BTreeMap<SocketAddr, Rc<Link>>>,
+    tasks: Tasks,
+    counters: Rc<Counters>,
+}
+
+impl<N: Net> Links<N> {
+    /// No connections yet.
+    pub fn new(net: N, counters: Rc<Counters>) -> Self {
+        Self {
+            net,
+            links: RefCell::default(),
+            tasks: Tasks::default(),
+            counters,
+        }
+    }
+
+    /// Sends a request to the peer at `to` and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// The peer can't be reached, or the connection ends before the head of the answer.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let mut sender = self.sender(to).await?;
+        let sent = sender.try_send_request(request).await;
+        sent.map_err(|mut fault| match fault.take_message() {
+            Some(_) => SendError::Unreachable(to),
+            None => SendError::Lost(to, fault.into_error()),
+        })
+    }
+
+    async fn sender(&self, to: SocketAddr) -> Result<Sender, SendError> {
+        let link = self.links.borrow_mut().entry(to).or_default().clone();
+        if let Some(sender) = link.open() {
+            return Ok(sender);
+        }
+        let _dialling = link.dial.lock().await;
+        if let Some(sender) = link.open() {
+            return Ok(sender);
+        }
+        let wait = Duration::from_millis(DIAL_WAIT_MS);
+        let Ok(Some(sender)) = timeout(wait, self.dial(to)).await else {
+            self.counters.add(Counter::DialsFailed, 1);
+            return Err(SendError::Unreachable(to));
+        };
+        self.counters.add(Counter::Dials, 1);
+        *link.sender.borrow_mut() = Some(sender.clone());
+        Ok(sender)
+    }
+
+    async fn dial(&self, to: SocketAddr) -> Option<Sender> {
+        let conn = self.net.dial(to).await.ok()?;
+        let (mut sender, conn) = http2::Builder::new(self.tasks.clone())
+            .timer(TokioTimer::new())
+            .max_header_list_size(HEAD_MAX_BYTES as u32)
+            .initial_stream_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .keep_alive_interval(Duration::from_millis(ALIVE_INTERVAL_MS))
+            .keep_alive_timeout(Duration::from_millis(ALIVE_TIMEOUT_MS))
+            .handshake(TokioIo::new(conn))
+            .await
+            .ok()?;
+        self.tasks.spawn(async move {
+            if let Err(error) = conn.await {
+                log::debug!("connection to {to} ended: {error}");
+            }
+        });
+        sender.ready().await.ok()?;
+        Some(sender)
+    }
+
+    /// Closes the connections to all peers that are not in `peers`, after their calls.
+    pub fn retain(&self, peers: &BTreeSet<SocketAddr>) {
+        self.links.borrow_mut().retain(|at, _| peers.contains(at));
+    }
+
+    /// Number of peers with an open connection.
+    pub fn open(&self) -> usize {
+        let links = self.links.borrow();
+        links.values().filter(|l| l.open().is_some()).count()
+    }
+
+    /// Closes all connections and waits until their tasks have ended.
+    pub async fn close(&self) {
+        self.links.borrow_mut().clear();
+        self.tasks.abort().await;
+    }
+}
--- /dev/null
+++ b/src/transport/reply.rs
@@ -0,0 +1,270 @@
+//! The answer to a call inside a node, before a listener writes it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderValue, Method, Response, StatusCode,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    response,
+};
+
+use crate::{
+    coordination::{
+        gate::{Permit, Refusal, Why},
+        router::{Attempt, Pick},
+    },
+    protocol::{
+        call::{write, write_retry},
+        header,
+        hop::{remove_hop_by_hop, remove_internal},
+        outcome::Outcome,
+    },
+    state::{counters::Counter, limit::End, ticket::Ticket},
+};
+
+use super::{
+    body::{self, Ending, Finish, Framing, content_length},
+    health::Health,
+    pool::Lease,
+};
+
+/// Body of an answer, with what is to be settled at its end.
+pub type Body = body::Body<Guard>;
+
+/// What is settled when a streamed answer has ended.
+#[derive(Debug)]
+pub enum Guard {
+    /// The answer of the node's own backend server.
+    Server {
+        /// The connection, used again only after the whole answer.
+        lease: Lease,
+        /// Admission of the call, and the server's own time until the head of the answer.
+        permit: Permit,
+        /// Time in the server, without its egress calls.
+        own: Duration,
+        /// Told when the connection breaks.
+        health: std::rc::Rc<Health>,
+    },
+    /// The answer of another node.
+    Peer(Pick),
+}
+
+impl Finish for Guard {
+    fn finish(self, ending: Ending) {
+        match self {
+            Self::Server {
+                lease,
+                permit,
+                own,
+                health,
+            } => match ending {
+                Ending::Whole => {
+                    lease.reuse();
+                    permit.finish(own, End::Answered);
+                }
+                Ending::Broken => health.lost(permit, own),
+                Ending::Late | Ending::Dropped => permit.finish(own, End::Cancelled),
+            },
+            Self::Peer(pick) => pick.finish(match ending {
+                Ending::Whole => Attempt::Answered,
+                Ending::Broken => Attempt::Lost,
+                Ending::Late => Attempt::TimedOut,
+                Ending::Dropped => Attempt::Cancelled,
+            }),
+        }
+    }
+}
+
+/// The answer to a call, with what the listeners tell about it.
+pub struct Reply {
+    /// Outcome of the call.
+    pub outcome: Outcome,
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// End-to-end headers of the answer.
+    pub headers: HeaderMap,
+    /// Body of the answer.
+    pub body: Body,
+    /// Extra attempts that were not used.
+    pub unused: u32,
+    /// Why the call was refused.
+    pub why: Option<String>,
+    /// When the caller may send the request again.
+    pub retry_after: Option<Duration>,
+    /// Whether the node that answered is leaving.
+    pub leaving: bool,
+    /// Whether the request was refused because it crashes backend servers.
+    pub convicted: bool,
+    /// A ticket for a further request.
+    pub ticket: Option<Ticket>,
+}
+
+impl Reply {
+    fn new(outcome: Outcome, unused: u32) -> Self {
+        Self {
+            outcome,
+            status: outcome.status(),
+            headers: HeaderMap::new(),
+            body: Body::whole(Bytes::new()),
+            unused,
+            why: None,
+            retry_after: None,
+            leaving: false,
+            convicted: false,
+            ticket: None,
+        }
+    }
+
+    /// A complete answer.
+    pub fn complete(head: response::Parts, body: Body, unused: u32) -> Self {
+        let mut headers = head.headers;
+        remove_hop_by_hop(&mut headers);
+        remove_internal(&mut headers);
+        Self {
+            status: head.status,
+            headers,
+            body,
+            ..Self::new(Outcome::Complete, unused)
+        }
+    }
+
+    /// The call was refused and ran nowhere.
+    pub fn not_run(unused: u32, why: impl Into<String>, retry_after: Duration) -> Self {
+        Self {
+            why: Some(why.into()),
+            retry_after: Some(retry_after),
+            ..Self::new(Outcome::NotRun, unused)
+        }
+    }
+
+    /// The call may have run and has ended without an answer.
+    pub fn failed(why: impl Into<String>) -> Self {
+        Self {
+            why: Some(why.into()),
+            ..Self::new(Outcome::Failed, 0)
+        }
+    }
+
+    /// The call may have run or may still run.
+    pub fn unknown(why: impl Into<String>) -> Self {
+        Self {
+            why: Some(why.into()),
+            ..Self::new(Outcome::Unknown, 0)
+        }
+    }
+
+    /// The refusal of the gate; a convicted request counts as run, since earlier attempts ran.
+    pub fn refused(refusal: &Refusal, unused: u32) -> Self {
+        let why = why_text(refusal.why);
+        if refusal.why == Why::Convicted {
+            return Self {
+                convicted: true,
+                unused,
+                ..Self::failed(why)
+            };
+        }
+        Self {
+            leaving: refusal.why == Why::Leaving,
+            ..Self::not_run(unused, why, refusal.retry_after)
+        }
+    }
+
+    /// The same answer with another status.
+    pub fn with_status(mut self, status: StatusCode) -> Self {
+        self.status = status;
+        self
+    }
+
+    /// How the attempt that led to this answer ended.
+    pub fn attempt(&self) -> Attempt {
+        match self.outcome {
+            Outcome::Complete => Attempt::Answered,
+            Outcome::NotRun => Attempt::NotRun,
+            Outcome::Failed => Attempt::Lost,
+            Outcome::Unknown => Attempt::TimedOut,
+        }
+    }
+
+    /// The answer with the headers that every listener writes.
+    pub fn into_response(self) -> Response<Body> {
+        let mut response = Response::new(self.body);
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        let headers = response.headers_mut();
+        write(headers, header::OUTCOME, &self.outcome);
+        if let Some(why) = &self.why {
+            write(headers, header::WHY, why);
+        }
+        if let Some(after) = self.retry_after {
+            write_retry(headers, after);
+        }
+        if self.leaving {
+            write(headers, header::LEAVING, &1);
+        }
+        if self.convicted {
+            write(headers, header::CONVICTED, &1);
+        }
+        if let Some(ticket) = &self.ticket {
+            write(headers, header::TICKET, ticket);
+        }
+        response
+    }
+}
+
+/// The text of a reason, as in `cb-why` and the journal.
+pub fn why_text(why: Why) -> &'static str {
+    match why {
+        Why::Level => "level",
+        Why::Evicted => "evicted",
+        Why::Waited => "waited",
+        Why::Deadline => "deadline",
+        Why::Leaving => "leaving",
+        Why::Waking => "waking",
+        Why::Convicted => "convicted",
+        Why::ClassLimit => "class-limit",
+        Why::NoConfig => "no-config",
+    }
+}
+
+/// The counter of a reason.
+pub fn why_counter(why: Why) -> Counter {
+    match why {
+        Why::Level => Counter::RefusedLevel,
+        Why::Evicted => Counter::RefusedEvicted,
+        Why::Waited => Counter::RefusedWaited,
+        Why::Deadline => Counter::RefusedDeadline,
+        Why::Leaving => Counter::RefusedLeaving,
+        Why::Waking => Counter::RefusedWaking,
+        Why::Convicted => Counter::RefusedConvicted,
+        Why::ClassLimit => Counter::RefusedClassLimit,
+        Why::NoConfig => Counter::RefusedNoConfig,
+    }
+}
+
+/// How the end of a backend server's answer is recognised; `None` when only by its connection.
+pub fn server_framing(method: &Method, head: &response::Parts) -> Option<Framing> {
+    if is_bodiless(method, head.status) {
+        return Some(Framing::Empty);
+    }
+    let chunked = HeaderValue::from_static("chunked");
+    let encodings: Vec<_> = head.headers.get_all(TRANSFER_ENCODING).iter().collect();
+    if !encodings.is_empty() {
+        let alone = !head.headers.contains_key(CONTENT_LENGTH);
+        return (alone && encodings == [&chunked]).then_some(Framing::Chunked);
+    }
+    content_length(&head.headers).map(Framing::Length)
+}
+
+/// How the end of a peer's answer is recognised.
+pub fn peer_framing(method: &Method, head: &response::Parts) -> Framing {
+    if is_bodiless(method, head.status) {
+        return Framing::Empty;
+    }
+    content_length(&head.headers).map_or(Framing::Trailer, Framing::Length)
+}
+
+fn is_bodiless(method: &Method, status: StatusCode) -> bool {
+    let empty = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
+    method == Method::HEAD || empty || status.is_informational()
+}
--- /dev/null
+++ b/src/transport/request.rs
@@ -0,0 +1,187 @@
+//! Checks and parts of requests that all listeners share.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, Version,
+    header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING},
+    request::Parts,
+    uri::{Authority, PathAndQuery, Scheme},
+};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use thiserror::Error;
+
+use crate::{
+    protocol::hop::{remove_hop_by_hop, remove_internal},
+    state::{
+        held::fingerprint,
+        id::{Fingerprint, ServiceName},
+    },
+};
+
+use super::body::{BodyError, read_request};
+
+/// Most bytes of the body of a request.
+pub const BODY_MAX_BYTES: usize = 2 * 1_024 * 1_024;
+/// Longest time for the body of a request.
+pub const BODY_WAIT_MS: u64 = 10_000;
+
+const TARGET_MAX_BYTES: usize = 8 * 1_024;
+const DIGEST_MAX_BYTES: usize = 64 * 1_024;
+
+/// Why a request is refused before it is looked at any further.
+#[derive(Debug, Error)]
+pub enum RequestError {
+    /// Framing that two readers could understand differently.
+    #[error("could not accept the request: its framing is ambiguous")]
+    Framing,
+    /// A version without chunked bodies, whose answers could only end with the connection.
+    #[error("could not accept the request: HTTP/1.1 or HTTP/2 is required")]
+    Version,
+    /// A method that addresses a proxy.
+    #[error("could not accept the request: method {0} is not passed on")]
+    Method(Method),
+    /// A target that is too long or has no path.
+    #[error("could not accept the request: its target is too long or has no path")]
+    Target,
+    /// The body could not be read.
+    #[error(transparent)]
+    Body(#[from] BodyError),
+}
+
+impl RequestError {
+    /// The status that tells the caller.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Framing => StatusCode::BAD_REQUEST,
+            Self::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
+            Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+            Self::Target => StatusCode::URI_TOO_LONG,
+            Self::Body(BodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Body(BodyError::TimedOut) => StatusCode::REQUEST_TIMEOUT,
+            Self::Body(_) => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// A request whose body has been read, ready to be sent any number of times.
+#[derive(Debug, Clone)]
+pub struct Message {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: PathAndQuery,
+    /// Host that the caller named.
+    pub host: Option<Authority>,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Message {
+    /// Checks a request and reads its body.
+    ///
+    /// # Errors
+    /// The request is malformed, too large or too slow.
+    pub async fn read(head: Parts, body: Incoming) -> Result<Self, RequestError> {
+        check(&head)?;
+        let host = authority(&head);
+        let target = head.uri.path_and_query().cloned();
+        let target = target.ok_or(RequestError::Target)?;
+        let wait = Duration::from_millis(BODY_WAIT_MS);
+        let body = read_request(body, BODY_MAX_BYTES, wait).await?;
+        let mut headers = head.headers;
+        remove_hop_by_hop(&mut headers);
+        remove_internal(&mut headers);
+        for name in [CONTENT_LENGTH, HOST, EXPECT] {
+            headers.remove(name);
+        }
+        Ok(Self {
+            method: head.method,
+            target,
+            host,
+            headers,
+            body,
+        })
+    }
+
+    /// The digest by which requests that crash servers are recognised.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let part = &self.body[..self.body.len().min(DIGEST_MAX_BYTES)];
+        fingerprint(&[self.method.as_str().as_bytes(), self.path(), part])
+    }
+
+    /// The digest over the whole request, with further fields.
+    pub fn identity(&self, fields: &[&[u8]]) -> Fingerprint {
+        let mut all = vec![self.method.as_str().as_bytes(), self.path(), &self.body];
+        all.extend_from_slice(fields);
+        fingerprint(&all)
+    }
+
+    fn path(&self) -> &[u8] {
+        self.target.as_str().as_bytes()
+    }
+
+    /// The request to a backend server over HTTP/1.1.
+    pub fn to_server(&self, service: &ServiceName) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.target.clone());
+        *request.headers_mut() = self.headers.clone();
+        let host = self.host.as_ref().map_or(service.as_str(), Authority::as_str);
+        if let Ok(host) = HeaderValue::try_from(host) {
+            request.headers_mut().insert(HOST, host);
+        }
+        request
+    }
+
+    /// The request to a peer over HTTP/2.
+    ///
+    /// # Errors
+    /// The name of the service is no valid host.
+    pub fn to_peer(&self, service: &ServiceName) -> http::Result<Request<Full<Bytes>>> {
+        let host = self.host.as_ref().map_or(service.as_str(), Authority::as_str);
+        let uri = Uri::builder()
+            .scheme(Scheme::HTTP)
+            .authority(host)
+            .path_and_query(self.target.clone())
+            .build()?;
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = uri;
+        *request.version_mut() = Version::HTTP_2;
+        *request.headers_mut() = self.headers.clone();
+        Ok(request)
+    }
+}
+
+fn authority(head: &Parts) -> Option<Authority> {
+    if let Some(authority) = head.uri.authority() {
+        return Some(authority.clone());
+    }
+    head.headers.get(HOST)?.to_str().ok()?.parse().ok()
+}
+
+fn check(head: &Parts) -> Result<(), RequestError> {
+    if head.version < Version::HTTP_11 {
+        return Err(RequestError::Version);
+    }
+    if head.method == Method::CONNECT || head.method == Method::TRACE {
+        return Err(RequestError::Method(head.method.clone()));
+    }
+    if head.uri.path_and_query().is_none_or(|p| p.as_str().len() > TARGET_MAX_BYTES) {
+        return Err(RequestError::Target);
+    }
+    let encodings: Vec<_> = head.headers.get_all(TRANSFER_ENCODING).iter().collect();
+    let lengths = head.headers.get_all(CONTENT_LENGTH).iter().count();
+    let hosts = head.headers.get_all(HOST).iter().count();
+    let plain = encodings.iter().all(|e| e.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    let ambiguous = lengths + encodings.len() > 1 || hosts > 1 || !plain;
+    if ambiguous {
+        return Err(RequestError::Framing);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/transport/serve.rs
@@ -0,0 +1,281 @@
+//! One call to the node's own backend server.
+
+use std::{rc::Rc, time::Duration};
+
+use http::Response;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    coordination::gate::{Ask, Permit, Why},
+    protocol::{call::write, header},
+    state::{
+        allowance::Allowance,
+        calls::{Call, Egress},
+        counters::Counter,
+        id::{CallToken, ChainName, RootId},
+        journal::Step,
+        limit::End,
+        object::Class,
+        priority::Priority,
+    },
+};
+
+use super::{
+    body::{Start, start},
+    link::SendError,
+    net::Net,
+    node::{Parts, Path},
+    pool::Lease,
+    reply::{Body, Guard, Reply, server_framing, why_counter, why_text},
+    request::Message,
+};
+
+/// A call and what is known about the client request behind it.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// The client request.
+    pub root: RootId,
+    /// Class of the client request.
+    pub class: Class,
+    /// Chain of the client request.
+    pub chain: ChainName,
+    /// Priority of the client request.
+    pub priority: Priority,
+    /// When the call must have ended.
+    pub deadline: Instant,
+    /// Extra attempts that the call and all below it may use.
+    pub allowance: u32,
+    /// The request itself.
+    pub message: Message,
+}
+
+impl Order {
+    /// Time left until the deadline.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// An admitted call in the call table; removed from it on drop, which cancels what is below.
+struct Entry {
+    parts: Rc<Parts>,
+    token: CallToken,
+    permit: Option<Permit>,
+    cancel: CancellationToken,
+    dispatched: Option<Instant>,
+}
+
+/// What remains of a call once it has left the call table.
+struct Closed {
+    permit: Permit,
+    own: Duration,
+    unused: u32,
+    egress: u32,
+}
+
+impl Entry {
+    fn open(parts: &Rc<Parts>, order: &Order, permit: Permit) -> Self {
+        let cancel = CancellationToken::new();
+        let token = parts.calls.borrow_mut().open(Call {
+            root: order.root,
+            class: order.class.name.clone(),
+            chain: order.chain.clone(),
+            priority: order.priority,
+            deadline: order.deadline,
+            repeatable: order.class.repeatable,
+            allowance: Allowance::new(order.allowance),
+            cancel: cancel.clone(),
+            egress: Egress::default(),
+        });
+        Self {
+            parts: parts.clone(),
+            token,
+            permit: Some(permit),
+            cancel,
+            dispatched: None,
+        }
+    }
+
+    /// Takes the call out of the table; what is left of its allowance can't be used after this.
+    fn close(mut self) -> Option<Closed> {
+        let now = Instant::now();
+        let permit = self.permit.take()?;
+        let mut call = self.parts.calls.borrow_mut().close(&self.token)?;
+        let spent = self.dispatched.map_or(Duration::ZERO, |at| now - at);
+        Some(Closed {
+            permit,
+            own: spent.saturating_sub(call.egress.waited(now)),
+            unused: call.allowance.close(),
+            egress: call.egress.count(),
+        })
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if self.permit.is_some() {
+            self.parts.calls.borrow_mut().close(&self.token);
+            self.cancel.cancel();
+        }
+    }
+}
+
+/// Runs a call at the node's own backend server, once the gate admits it.
+pub async fn serve<N: Net>(path: &Path<N>, order: &Order) -> Reply {
+    let parts = &path.parts;
+    let Some(gate) = parts.gate() else {
+        return refused(path, order, Why::NoConfig);
+    };
+    let asked = Instant::now();
+    let ask = Ask {
+        priority: order.priority,
+        class: order.class.name.clone(),
+        important: order.class.important,
+        deadline: order.deadline,
+        span: order.class.deadline(),
+        fingerprint: order.message.fingerprint(),
+    };
+    let permit = match gate.admit(ask).await {
+        Ok(permit) => permit,
+        Err(refusal) => {
+            parts.refused(order, refusal.why);
+            return Reply::refused(&refusal, order.allowance);
+        }
+    };
+    let waited_us = asked.elapsed().as_micros() as u64;
+    parts.note(order.root, Step::Admitted { waited_us });
+    // The process may have been paused while the call waited.
+    if parts.is_late(order.deadline) {
+        drop(permit);
+        return refused(path, order, Why::Deadline);
+    }
+    let mut entry = Entry::open(parts, order, permit);
+    let leased = timeout_at(order.deadline, path.pool.lease()).await;
+    let Ok(leased) = leased else {
+        drop(entry);
+        return refused(path, order, Why::Deadline);
+    };
+    let Ok(lease) = leased else {
+        path.health.refused();
+        return unreachable(path, order, entry);
+    };
+    if parts.is_late(order.deadline) {
+        lease.reuse();
+        drop(entry);
+        return refused(path, order, Why::Deadline);
+    }
+    entry.dispatched = Some(Instant::now());
+    parts.counters.add(Counter::ServerCalls, 1);
+    exchange(path, order, entry, lease).await
+}
+
+fn refused<N>(path: &Path<N>, order: &Order, why: Why) -> Reply {
+    path.parts.refused(order, why);
+    Reply::not_run(order.allowance, why_text(why), path.parts.pause())
+}
+
+fn unreachable<N>(path: &Path<N>, order: &Order, entry: Entry) -> Reply {
+    drop(entry);
+    let cause = "server-unreachable".into();
+    path.parts.note(order.root, Step::Refused { cause });
+    Reply::not_run(order.allowance, "server-unreachable", path.parts.pause())
+}
+
+async fn exchange<N: Net>(path: &Path<N>, order: &Order, entry: Entry, lease: Lease) -> Reply {
+    let mut lease = lease;
+    let mut request = order.message.to_server(&path.parts.settings.service);
+    let headers = request.headers_mut();
+    write(headers, header::CALL, &entry.token);
+    write(headers, header::ROOT, &order.root);
+    write(headers, header::CLASS, &order.class.name);
+    write(headers, header::TIMEOUT_MS, &order.left().as_millis());
+    let answered = async {
+        let answer = lease.send(request).await;
+        (answer, lease)
+    };
+    let Ok((answer, lease)) = timeout_at(order.deadline, answered).await else {
+        return late(entry);
+    };
+    match answer {
+        Ok(answer) => answered_by(path, order, entry, lease, answer).await,
+        Err(SendError::Unreachable(_)) => unreachable(path, order, entry),
+        Err(error) => broken(path, entry, lease, &error.to_string()),
+    }
+}
+
+/// The deadline passed after dispatch: the call may still run.
+fn late(entry: Entry) -> Reply {
+    // The server works on an abandoned call until it notices, which the limit has to learn.
+    let cancel = entry.cancel.clone();
+    if let Some(closed) = entry.close() {
+        closed.permit.finish(closed.own, End::Cancelled);
+    }
+    cancel.cancel();
+    Reply::unknown("deadline")
+}
+
+fn broken<N: Net>(path: &Path<N>, entry: Entry, lease: Lease, cause: &str) -> Reply {
+    drop(lease);
+    let cancel = entry.cancel.clone();
+    if let Some(closed) = entry.close() {
+        path.health.lost(closed.permit, closed.own);
+    }
+    cancel.cancel();
+    path.parts.counters.add(Counter::AnswersBroken, 1);
+    log::debug!("answer of the server broke: {cause}");
+    Reply::failed("server-lost")
+}
+
+async fn answered_by<N: Net>(
+    path: &Path<N>,
+    order: &Order,
+    entry: Entry,
+    lease: Lease,
+    answer: Response<Incoming>,
+) -> Reply {
+    let (head, body) = answer.into_parts();
+    let Some(framing) = server_framing(&order.message.method, &head) else {
+        return broken(path, entry, lease, "its end can't be recognised");
+    };
+    let Ok(started) = timeout_at(order.deadline, start(body, framing)).await else {
+        drop(lease);
+        return late(entry);
+    };
+    let started = match started {
+        Ok(started) => started,
+        Err(error) => return broken(path, entry, lease, &error.to_string()),
+    };
+    let Some(closed) = entry.close() else {
+        return Reply::failed("call-closed");
+    };
+    let shed = path.parts.is_shed(&head);
+    let (unused, egress) = (closed.unused, closed.egress);
+    let body = match started {
+        Start::Whole(bytes) => {
+            lease.reuse();
+            let end = if shed { End::Shed } else { End::Answered };
+            closed.permit.finish(closed.own, end);
+            Body::whole(bytes)
+        }
+        Start::Partial(chunks, rest) => {
+            let guard = Guard::Server {
+                lease,
+                permit: closed.permit,
+                own: closed.own,
+                health: path.health.clone(),
+            };
+            Body::stream(chunks, rest, framing, order.deadline, guard)
+        }
+    };
+    if !shed {
+        return Reply::complete(head, body, unused);
+    }
+    path.parts.counters.add(Counter::ServerSheds, 1);
+    // A server that sheds after it has called others did run the request.
+    if egress > 0 {
+        return Reply::complete(head, body, unused);
+    }
+    Reply::not_run(unused, "shed", path.parts.pause())
+}
