--- a/src/transport/attempts.rs
+++ b/src/transport/attempts.rs
@@ -64,7 +64,8 @@
     let class = &order.class;
     let mut retry = Retry::new(class.repeatable, order.deadline, control, parts.fork())
         .important(class.important);
-    parts.budget(service, |b| b.first());
+    let budget = parts.router.budget(service).unwrap_or_default();
+    budget.borrow_mut().first();
     let mut tried = BTreeSet::new();
     let mut target = first(parts, service, order, first_local);
     loop {
@@ -82,8 +83,8 @@
             return reply;
         }
         let now = Instant::now();
-        let charge = |a: &mut Allowance| {
-            let delay = parts.budget(service, |b| retry.delay(reply.attempt(), a, b, now));
+        let mut charge = |a: &mut Allowance| {
+            let delay = retry.delay(reply.attempt(), a, &mut budget.borrow_mut(), now);
             delay.map(|d| (d, a.left()))
         };
         let Some((delay, left)) = purse.with(charge).flatten() else {
@@ -119,11 +120,17 @@
     order: &Order,
     tried: &BTreeSet<UpstreamName>,
 ) -> Option<Target> {
-    let pick = parts.router.pick(service, order.priority, tried)?;
-    if pick.upstream().name != parts.settings.name {
-        return Some(Target::Peer(pick));
+    let pick = parts.router.pick(service, order.priority, tried);
+    pick.map(Target::Peer)
+}
+
+/// The node's own server is lent everything, since it is the call that holds the allowance.
+fn lend(allowance: &mut Allowance, own: bool) -> u32 {
+    let mut lent = allowance.lend();
+    while own && allowance.left() > 0 {
+        lent += allowance.lend();
     }
-    Some(Target::Own)
+    lent
 }
 
 async fn attempt<N: Net>(
@@ -133,7 +140,8 @@
     purse: &impl Purse,
     tried: &mut BTreeSet<UpstreamName>,
 ) -> Reply {
-    let lent = purse.with(|a| a.lend()).unwrap_or(0);
+    let own = matches!(to, Target::Own);
+    let lent = purse.with(|a| lend(a, own)).unwrap_or(0);
     let order = Order { allowance: lent, ..order.clone() };
     let reply = match to {
         Target::Own => {
@@ -142,7 +150,8 @@
         }
         Target::Peer(pick) => {
             tried.insert(pick.upstream().name.clone());
-            remote::send(path, pick, &order, None).await
+            let upstream = pick.upstream().clone();
+            remote::send(path, upstream, Some(pick), &order, None).await
         }
     };
     purse.with(|a| a.settle(lent, reply.unused));
--- a/src/transport/health.rs
+++ b/src/transport/health.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    coordination::gate::{Gate, Permit},
+    coordination::gate::Permit,
     state::{counters::Counter, journal::Change, limit::End},
 };
 
@@ -74,13 +74,10 @@
     let health = &path.health;
     let accepts = path.pool.probe(Duration::from_millis(PROBE_WAIT_MS)).await;
     let together = path.pool.failed_together() >= TOGETHER;
-    let Some(gate) = path.parts.gate() else {
-        return health.release();
-    };
     if accepts && !together {
         return health.release();
     }
-    crashed(path, &gate, accepts);
+    crashed(path, accepts);
     while !accepts && !stop.is_cancelled() {
         sleep(Duration::from_millis(PROBE_EVERY_MS)).await;
         if path.pool.probe(Duration::from_millis(PROBE_WAIT_MS)).await {
@@ -88,13 +85,13 @@
         }
     }
     health.down.set(false);
-    gate.server_restarted();
+    path.parts.gate.server_restarted();
     let mut journal = path.parts.journal.borrow_mut();
     journal.decide(Instant::now(), Change::ServerBack, "server", "accepts connections");
 }
 
-fn crashed<N: Net>(path: &Path<N>, gate: &Gate, accepts: bool) {
-    let suspects = gate.server_lost();
+fn crashed<N: Net>(path: &Path<N>, accepts: bool) {
+    let suspects = path.parts.gate.server_lost();
     path.health.down.set(!accepts);
     path.health.release();
     path.parts.counters.add(Counter::ServerLost, 1);
--- a/src/transport/remote.rs
+++ b/src/transport/remote.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    coordination::router::{Attempt, Levels, Pick},
+    coordination::router::{Attempt, Pick},
     protocol::{
         call::{self, CallHead, read, read_outcome, write},
         header,
@@ -16,6 +16,7 @@
     state::{
         id::ServiceName,
         journal::Step,
+        level::Levels,
         object::Upstream,
         priority::Level,
         ticket::Ticket,
@@ -32,17 +33,17 @@
     serve::Order,
 };
 
-/// Sends a call to the upstream picked and reads its answer.
+/// Sends a call to an upstream and reads its answer.
 ///
 /// `order.allowance` is what is lent to the call. With a `ticket`, the peer is asked to treat the
-/// request as its issuer.
+/// request as its issuer; there is no pick then.
 pub async fn send<N: Net>(
     path: &Path<N>,
-    pick: Pick,
+    upstream: Upstream,
+    pick: Option<Pick>,
     order: &Order,
     ticket: Option<&Ticket>,
 ) -> Reply {
-    let upstream = pick.upstream().clone();
     let parts = &path.parts;
     parts.note(order.root, Step::Sent { upstream: upstream.name.clone() });
     let (reply, attempt) = exchange(path, &upstream, order, ticket).await;
@@ -51,7 +52,9 @@
     parts.note(order.root, ended);
     match reply {
         Answer::Ready(reply) => {
-            pick.finish(attempt);
+            if let Some(pick) = pick {
+                pick.finish(attempt);
+            }
             *reply
         }
         Answer::Open(reply, stream) => stream.attach(*reply, pick),
@@ -72,7 +75,7 @@
 }
 
 impl Open {
-    fn attach(self, reply: Reply, pick: Pick) -> Reply {
+    fn attach(self, reply: Reply, pick: Option<Pick>) -> Reply {
         let (chunks, rest) = self.start;
         let guard = Guard::Peer(pick);
         let body = Body::stream(chunks, rest, self.framing, self.deadline, guard);
@@ -105,8 +108,8 @@
 ) -> Ended {
     let parts = &path.parts;
     let unsent = |attempt| {
-        let pause = parts.pause();
-        ready(Reply::not_run(order.allowance, attempt_text(attempt), pause), attempt)
+        let reply = Reply::not_run(order.allowance, attempt_text(attempt), parts.pause());
+        ready(Reply { unsent: true, ..reply }, attempt)
     };
     let left = order.left();
     let Ok(mut request) = order.message.to_peer(&upstream.service) else {
@@ -238,9 +241,7 @@
     let headers = response.headers_mut();
     call::write(headers, header::UNUSED, &unused);
     call::write(headers, header::LEVELS, &levels);
-    if let Some(gate) = parts.gate() {
-        call::write(headers, header::LOAD, &gate.load());
-    }
+    call::write(headers, header::LOAD, &parts.gate.load());
     if let Some(length) = length.filter(|_| !headers.contains_key(CONTENT_LENGTH)) {
         headers.insert(CONTENT_LENGTH, length.into());
     }
--- a/src/transport/reply.rs
+++ b/src/transport/reply.rs
@@ -47,7 +47,7 @@
         health: std::rc::Rc<Health>,
     },
     /// The answer of another node.
-    Peer(Pick),
+    Peer(Option<Pick>),
 }
 
 impl Finish for Guard {
@@ -66,7 +66,8 @@
                 Ending::Broken => health.lost(permit, own),
                 Ending::Late | Ending::Dropped => permit.finish(own, End::Cancelled),
             },
-            Self::Peer(pick) => pick.finish(match ending {
+            Self::Peer(None) => {}
+            Self::Peer(Some(pick)) => pick.finish(match ending {
                 Ending::Whole => Attempt::Answered,
                 Ending::Broken => Attempt::Lost,
                 Ending::Late => Attempt::TimedOut,
@@ -98,6 +99,8 @@
     pub convicted: bool,
     /// A ticket for a further request.
     pub ticket: Option<Ticket>,
+    /// Whether nothing of the call was sent to the peer.
+    pub unsent: bool,
 }
 
 impl Reply {
@@ -113,6 +116,7 @@
             leaving: false,
             convicted: false,
             ticket: None,
+            unsent: false,
         }
     }
 
@@ -224,6 +228,7 @@
         Why::Convicted => "convicted",
         Why::ClassLimit => "class-limit",
         Why::NoConfig => "no-config",
+        Why::Down => "server-down",
     }
 }
 
@@ -239,6 +244,7 @@
         Why::Convicted => Counter::RefusedConvicted,
         Why::ClassLimit => Counter::RefusedClassLimit,
         Why::NoConfig => Counter::RefusedNoConfig,
+        Why::Down => Counter::RefusedDown,
     }
 }
 
--- a/src/transport/serve.rs
+++ b/src/transport/serve.rs
@@ -125,9 +125,6 @@
 /// Runs a call at the node's own backend server, once the gate admits it.
 pub async fn serve<N: Net>(path: &Path<N>, order: &Order) -> Reply {
     let parts = &path.parts;
-    let Some(gate) = parts.gate() else {
-        return refused(path, order, Why::NoConfig);
-    };
     let asked = Instant::now();
     let ask = Ask {
         priority: order.priority,
@@ -137,7 +134,7 @@
         span: order.class.deadline(),
         fingerprint: order.message.fingerprint(),
     };
-    let permit = match gate.admit(ask).await {
+    let permit = match parts.gate.admit(ask).await {
         Ok(permit) => permit,
         Err(refusal) => {
             parts.refused(order, refusal.why);
