--- a/src/transport/attempts.rs
+++ b/src/transport/attempts.rs
@@ -83,7 +83,7 @@
             return reply;
         }
         let now = Instant::now();
-        let mut charge = |a: &mut Allowance| {
+        let charge = |a: &mut Allowance| {
             let delay = retry.delay(reply.attempt(), a, &mut budget.borrow_mut(), now);
             delay.map(|d| (d, a.left()))
         };
@@ -102,12 +102,7 @@
     Peer(Pick),
 }
 
-fn first(
-    parts: &Parts,
-    service: &ServiceName,
-    order: &Order,
-    first_local: bool,
-) -> Option<Target> {
+fn first(parts: &Parts, service: &ServiceName, order: &Order, first_local: bool) -> Option<Target> {
     if first_local {
         return Some(Target::Own);
     }
@@ -142,7 +137,10 @@
 ) -> Reply {
     let own = matches!(to, Target::Own);
     let lent = purse.with(|a| lend(a, own)).unwrap_or(0);
-    let order = Order { allowance: lent, ..order.clone() };
+    let order = Order {
+        allowance: lent,
+        ..order.clone()
+    };
     let reply = match to {
         Target::Own => {
             tried.insert(path.parts.settings.name.clone());
--- a/src/transport/health.rs
+++ b/src/transport/health.rs
@@ -87,7 +87,12 @@
     health.down.set(false);
     path.parts.gate.server_restarted();
     let mut journal = path.parts.journal.borrow_mut();
-    journal.decide(Instant::now(), Change::ServerBack, "server", "accepts connections");
+    journal.decide(
+        Instant::now(),
+        Change::ServerBack,
+        "server",
+        "accepts connections",
+    );
 }
 
 fn crashed<N: Net>(path: &Path<N>, accepts: bool) {
@@ -95,10 +100,18 @@
     path.health.down.set(!accepts);
     path.health.release();
     path.parts.counters.add(Counter::ServerLost, 1);
-    let cause = format!("requests in flight: {}, accepts again: {accepts}", suspects.len());
+    let cause = format!(
+        "requests in flight: {}, accepts again: {accepts}",
+        suspects.len()
+    );
     let mut journal = path.parts.journal.borrow_mut();
     journal.decide(Instant::now(), Change::ServerLost, "server", cause);
     for request in suspects {
-        journal.decide(Instant::now(), Change::Suspect, request.to_string(), "in flight");
+        journal.decide(
+            Instant::now(),
+            Change::Suspect,
+            request.to_string(),
+            "in flight",
+        );
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,22 @@
 //! Networks, listeners and connections.
 
+pub mod admin;
+pub mod attempts;
+pub mod body;
+pub mod egress;
+pub mod health;
+pub mod link;
 pub mod memory;
 pub mod net;
+pub mod node;
+pub mod peer;
+pub mod pool;
+pub mod public;
+pub mod remote;
+pub mod reply;
+pub mod request;
+pub mod root;
+pub mod serve;
+pub mod server;
+pub mod tasks;
 pub mod tcp;
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -240,7 +240,9 @@
         let max = Duration::from_millis(IDLE_MAX_MS);
         let stale = |i: &Idle| now.duration_since(i.since) > max || i.sender.is_closed();
         let mut idle = self.shared.idle.borrow_mut();
-        idle.iter().filter(|i| stale(i)).for_each(|i| i.abort.abort());
+        idle.iter()
+            .filter(|i| stale(i))
+            .for_each(|i| i.abort.abort());
         idle.retain(|i| !stale(i));
     }
 
--- a/src/transport/remote.rs
+++ b/src/transport/remote.rs
@@ -14,13 +14,8 @@
         outcome::Outcome,
     },
     state::{
-        id::ServiceName,
-        journal::Step,
-        level::Levels,
-        object::Upstream,
-        priority::Level,
-        ticket::Ticket,
-        upstream::Load,
+        id::ServiceName, journal::Step, level::Levels, object::Upstream, priority::Level,
+        ticket::Ticket, upstream::Load,
     },
 };
 
@@ -45,10 +40,18 @@
     ticket: Option<&Ticket>,
 ) -> Reply {
     let parts = &path.parts;
-    parts.note(order.root, Step::Sent { upstream: upstream.name.clone() });
+    parts.note(
+        order.root,
+        Step::Sent {
+            upstream: upstream.name.clone(),
+        },
+    );
     let (reply, attempt) = exchange(path, &upstream, order, ticket).await;
     let result = attempt_text(attempt);
-    let ended = Step::Ended { upstream: upstream.name, result: result.into() };
+    let ended = Step::Ended {
+        upstream: upstream.name,
+        result: result.into(),
+    };
     parts.note(order.root, ended);
     match reply {
         Answer::Ready(reply) => {
@@ -79,7 +82,10 @@
         let (chunks, rest) = self.start;
         let guard = Guard::Peer(pick);
         let body = Body::stream(chunks, rest, self.framing, self.deadline, guard);
-        Reply { body, ..Reply::complete(self.head, Body::whole(Default::default()), reply.unused) }
+        Reply {
+            body,
+            ..Reply::complete(self.head, Body::whole(Default::default()), reply.unused)
+        }
     }
 }
 
@@ -109,7 +115,13 @@
     let parts = &path.parts;
     let unsent = |attempt| {
         let reply = Reply::not_run(order.allowance, attempt_text(attempt), parts.pause());
-        ready(Reply { unsent: true, ..reply }, attempt)
+        ready(
+            Reply {
+                unsent: true,
+                ..reply
+            },
+            attempt,
+        )
     };
     let left = order.left();
     let Ok(mut request) = order.message.to_peer(&upstream.service) else {
@@ -134,9 +146,7 @@
     match sent {
         Err(_) => ready(Reply::unknown("deadline"), Attempt::TimedOut),
         Ok(Err(SendError::Unreachable(_))) => unsent(Attempt::Unreachable),
-        Ok(Err(SendError::Lost(..))) => {
-            ready(Reply::failed("connection-lost"), Attempt::Lost)
-        }
+        Ok(Err(SendError::Lost(..))) => ready(Reply::failed("connection-lost"), Attempt::Lost),
         Ok(Ok(response)) => answered(parts, upstream, order, response).await,
     }
 }
@@ -153,7 +163,10 @@
     };
     learn(parts, &upstream.service, upstream, &head.headers);
     let lent = order.allowance;
-    let unused = read(&head.headers, header::UNUSED).ok().flatten().unwrap_or(0);
+    let unused = read(&head.headers, header::UNUSED)
+        .ok()
+        .flatten()
+        .unwrap_or(0);
     let unused = lent.min(unused);
     if outcome != Outcome::Complete {
         return refused(parts, outcome, unused, &head);
@@ -187,14 +200,12 @@
     }
 }
 
-fn refused(
-    parts: &Parts,
-    outcome: Outcome,
-    unused: u32,
-    head: &http::response::Parts,
-) -> Ended {
+fn refused(parts: &Parts, outcome: Outcome, unused: u32, head: &http::response::Parts) -> Ended {
     let headers = &head.headers;
-    let why: String = read(headers, header::WHY).ok().flatten().unwrap_or_default();
+    let why: String = read(headers, header::WHY)
+        .ok()
+        .flatten()
+        .unwrap_or_default();
     let retry_ms = read(headers, header::RETRY_MS).ok().flatten();
     let after = retry_ms.map_or_else(|| parts.pause(), Duration::from_millis);
     let reply = match outcome {
@@ -213,13 +224,11 @@
     ready(reply, attempt)
 }
 
-fn learn(
-    parts: &Parts,
-    service: &ServiceName,
-    upstream: &Upstream,
-    headers: &http::HeaderMap,
-) {
-    let levels: Levels = read(headers, header::LEVELS).ok().flatten().unwrap_or_default();
+fn learn(parts: &Parts, service: &ServiceName, upstream: &Upstream, headers: &http::HeaderMap) {
+    let levels: Levels = read(headers, header::LEVELS)
+        .ok()
+        .flatten()
+        .unwrap_or_default();
     let level = levels.0.get(service).copied().unwrap_or(Level::OPEN);
     let load: Option<Load> = read(headers, header::LOAD).ok().flatten();
     parts.router.learn_levels(&levels);
@@ -233,7 +242,11 @@
 }
 
 /// Writes what a node tells other nodes on each answer, and makes the end of the body provable.
-pub fn to_peer(parts: &Parts, chain: Option<&crate::state::id::ChainName>, reply: Reply) -> Response<Body> {
+pub fn to_peer(
+    parts: &Parts,
+    chain: Option<&crate::state::id::ChainName>,
+    reply: Reply,
+) -> Response<Body> {
     let unused = reply.unused;
     let mut response = reply.into_response();
     let levels = parts.levels(chain);
--- a/src/transport/reply.rs
+++ b/src/transport/reply.rs
@@ -33,7 +33,6 @@
 pub type Body = body::Body<Guard>;
 
 /// What is settled when a streamed answer has ended.
-#[derive(Debug)]
 pub enum Guard {
     /// The answer of the node's own backend server.
     Server {
--- a/src/transport/request.rs
+++ b/src/transport/request.rs
@@ -131,7 +131,10 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = Uri::from(self.target.clone());
         *request.headers_mut() = self.headers.clone();
-        let host = self.host.as_ref().map_or(service.as_str(), Authority::as_str);
+        let host = self
+            .host
+            .as_ref()
+            .map_or(service.as_str(), Authority::as_str);
         if let Ok(host) = HeaderValue::try_from(host) {
             request.headers_mut().insert(HOST, host);
         }
@@ -143,7 +146,10 @@
     /// # Errors
     /// The name of the service is no valid host.
     pub fn to_peer(&self, service: &ServiceName) -> http::Result<Request<Full<Bytes>>> {
-        let host = self.host.as_ref().map_or(service.as_str(), Authority::as_str);
+        let host = self
+            .host
+            .as_ref()
+            .map_or(service.as_str(), Authority::as_str);
         let uri = Uri::builder()
             .scheme(Scheme::HTTP)
             .authority(host)
@@ -172,13 +178,19 @@
     if head.method == Method::CONNECT || head.method == Method::TRACE {
         return Err(RequestError::Method(head.method.clone()));
     }
-    if head.uri.path_and_query().is_none_or(|p| p.as_str().len() > TARGET_MAX_BYTES) {
+    if head
+        .uri
+        .path_and_query()
+        .is_none_or(|p| p.as_str().len() > TARGET_MAX_BYTES)
+    {
         return Err(RequestError::Target);
     }
     let encodings: Vec<_> = head.headers.get_all(TRANSFER_ENCODING).iter().collect();
     let lengths = head.headers.get_all(CONTENT_LENGTH).iter().count();
     let hosts = head.headers.get_all(HOST).iter().count();
-    let plain = encodings.iter().all(|e| e.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    let plain = encodings
+        .iter()
+        .all(|e| e.as_bytes().eq_ignore_ascii_case(b"chunked"));
     let ambiguous = lengths + encodings.len() > 1 || hosts > 1 || !plain;
     if ambiguous {
         return Err(RequestError::Framing);
--- a/src/transport/serve.rs
+++ b/src/transport/serve.rs
@@ -28,7 +28,7 @@
     net::Net,
     node::{Parts, Path},
     pool::Lease,
-    reply::{Body, Guard, Reply, server_framing, why_counter, why_text},
+    reply::{Body, Guard, Reply, server_framing, why_text},
     request::Message,
 };
 
