--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -79,6 +79,7 @@
     RefusedConvicted "refused.convicted" "calls" Total "Refused because the request crashes servers.",
     RefusedClassLimit "refused.class-limit" "calls" Total "Refused by a limit object.",
     RefusedNoConfig "refused.no-config" "calls" Total "Refused because no configuration is in effect.",
+    RefusedDown "refused.down" "calls" Total "Refused because the backend server is down.",
     RefusedChain "refused.chain" "calls" Total "Refused early because a service of the chain refuses the class.",
     RefusedNoRoute "refused.no-route" "calls" Total "Refused because no chain or no upstream matches.",
     RefusedNoTicket "refused.no-ticket" "calls" Total "Refused because a non-repeatable call carried no ticket.",
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod allowance;
 pub mod budget;
+pub mod calls;
 pub mod config;
 pub mod counters;
 mod error;
--- a/src/transport/control/share.rs
+++ b/src/transport/control/share.rs
@@ -25,7 +25,7 @@
     },
     state::{
         counters::{Counter, Counters},
-        id::{Digest, Fingerprint, Incarnation, Revision, ServiceName, UpstreamName, ZoneName},
+        id::{Fingerprint, Incarnation, Revision, ServiceName, UpstreamName, ZoneName},
         journal::{Change, Journal},
         settings::Settings,
         store::{ConfigStore, Offered},
