--- a/src/transport/control/mod.rs
+++ b/src/transport/control/mod.rs
@@ -9,9 +9,8 @@
 mod share;
 mod start;
 
-use std::{cell::RefCell, io, rc::Rc};
+use std::{cell::RefCell, rc::Rc};
 
-use thiserror::Error;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -25,17 +24,6 @@
 };
 use share::Shared;
 
-/// Errors of the control plane.
-#[derive(Debug, Error)]
-pub enum ControlError {
-    /// The control address cannot be bound.
-    #[error("could not listen for control messages: {0}")]
-    Bind(io::Error),
-}
-
-/// Result of the control plane.
-pub type Result<T, E = ControlError> = std::result::Result<T, E>;
-
 /// What the control plane of a node works with.
 pub struct Control<N: Net> {
     /// Network of the host.
@@ -63,11 +51,8 @@
 
 /// Runs the control plane until `stop` is cancelled; returns after all its tasks have ended.
 ///
-/// # Errors
-/// The control address cannot be bound.
-pub async fn run<N: Net>(control: Control<N>, stop: CancellationToken) -> Result<()> {
-    let listener = control.net.bind(control.settings.control).await;
-    let listener = listener.map_err(ControlError::Bind)?;
+/// `listener` takes control messages at the address of the settings.
+pub async fn run<N: Net>(control: Control<N>, listener: N::Listener, stop: CancellationToken) {
     let shared = Shared::new(control);
     let mut tasks = JoinSet::new();
     tasks.spawn_local(server::accept(shared.clone(), listener, stop.clone()));
@@ -86,5 +71,4 @@
             std::panic::resume_unwind(e.into_panic());
         }
     }
-    Ok(())
 }
--- a/src/transport/control/share.rs
+++ b/src/transport/control/share.rs
@@ -232,7 +232,8 @@
         offered
     }
 
-    fn accepted(&self, revision: Revision, noticed: Instant) {
+    /// Makes a configuration that the store has just taken known to the rest of the node.
+    pub fn accepted(&self, revision: Revision, noticed: Instant) {
         let Some(config) = self.store.config() else {
             return;
         };
--- a/src/transport/control/start.rs
+++ b/src/transport/control/start.rs
@@ -39,6 +39,11 @@
 
 async fn start<N: Net>(shared: &Shared<N>) {
     let noticed = Instant::now();
+    if let Some(config) = shared.store.config() {
+        shared.follower.open(config.revision);
+        shared.accepted(config.revision, noticed);
+        return;
+    }
     let asked = loop {
         match find(shared).await {
             Some(asked) => break asked,
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -27,7 +27,7 @@
         counters::{Counter, Counters},
         held::HeldTable,
         id::{ChainName, Incarnation, RootId, ServiceName},
-        journal::{Change, Journal, Step},
+        journal::{Journal, Step},
         level::Levels,
         object::{Chain, Control, Favour},
         settings::Settings,
@@ -38,6 +38,7 @@
 
 use super::{
     admin::Admin,
+    control::{self, Control as ControlPlane},
     egress::Egress,
     health::{self, Health},
     link::Links,
@@ -98,9 +99,9 @@
     /// Callers that were refused recently.
     pub held: RefCell<HeldTable>,
     /// The configuration in effect.
-    pub store: ConfigStore,
+    pub store: Rc<ConfigStore>,
     /// Recent decisions.
-    pub journal: RefCell<Journal>,
+    pub journal: Rc<RefCell<Journal>>,
     /// Counters and gauges.
     pub counters: Rc<Counters>,
     /// Random numbers.
@@ -141,8 +142,8 @@
             calls: RefCell::new(CallTable::new(rng.fork())),
             tickets: RefCell::new(TicketIssuer::new(name, incarnation, rng.fork(), now)),
             held: RefCell::default(),
-            store: ConfigStore::new(),
-            journal: RefCell::new(Journal::new(now)),
+            store: Rc::default(),
+            journal: Rc::new(RefCell::new(Journal::new(now))),
             counters: Rc::default(),
             rng: RefCell::new(rng),
             settings,
@@ -321,7 +322,7 @@
     run_with(net, Rc::new(Parts::new(settings)), stop).await
 }
 
-/// Runs a node on parts made before, for callers that offer the configuration themselves.
+/// Runs a node on parts made before, which may hold a configuration already.
 ///
 /// # Errors
 /// A listener could not be bound.
@@ -341,10 +342,14 @@
     // Everything but calls ends with this token, after the last call.
     let end = CancellationToken::new();
     let background = Tasks::default();
-    background.spawn(watch_config(path.clone(), stop.clone(), end.clone()));
+    background.spawn(watch_config(path.clone(), end.clone()));
     background.spawn(tick(path.clone(), end.clone()));
     background.spawn(health::watch(path.clone(), end.clone()));
-    // The control plane (membership, readers, pause detection) is spawned here on `background`.
+    // Cancelled by `stop`, and by the control plane when the server drains or the list says so.
+    let leaving = stop.child_token();
+    let listener = bind(&net, at.control).await?;
+    let control = control_plane(&net, &path.parts, &leaving);
+    background.spawn(control::run(control, listener, end.clone()));
 
     let (calls, inner) = (Stop::default(), Stop::default());
     let outer = Tasks::default();
@@ -382,14 +387,8 @@
         &inner,
     );
 
-    stop.cancelled().await;
+    leaving.cancelled().await;
     path.parts.gate.set_state(GateState::Leaving);
-    let name = path.parts.settings.name.to_string();
-    let now = Instant::now();
-    path.parts
-        .journal
-        .borrow_mut()
-        .decide(now, Change::State, name, "leaving: stop requested");
     calls.refuse.cancel();
     drain(&path.parts, outer.join(), &calls).await;
     outer.join().await;
@@ -403,6 +402,25 @@
     Ok(())
 }
 
+fn control_plane<N: Net>(
+    net: &N,
+    parts: &Rc<Parts>,
+    leaving: &CancellationToken,
+) -> ControlPlane<N> {
+    ControlPlane {
+        net: net.clone(),
+        settings: parts.settings.clone(),
+        store: parts.store.clone(),
+        gate: parts.gate.clone(),
+        router: parts.router.clone(),
+        counters: parts.counters.clone(),
+        journal: parts.journal.clone(),
+        rng: parts.fork(),
+        incarnation: parts.incarnation,
+        leaving: leaving.clone(),
+    }
+}
+
 async fn bind<N: Net>(net: &N, at: SocketAddr) -> Result<N::Listener> {
     net.bind(at)
         .await
@@ -445,7 +463,7 @@
     }
 }
 
-async fn watch_config<N: Net>(path: Rc<Path<N>>, stop: CancellationToken, end: CancellationToken) {
+async fn watch_config<N: Net>(path: Rc<Path<N>>, end: CancellationToken) {
     let mut configs = path.parts.store.subscribe();
     configs.mark_changed();
     loop {
@@ -464,10 +482,6 @@
         let upstreams = config.pieces.values().flat_map(|p| &p.upstreams);
         path.links
             .retain(&upstreams.map(|u| u.peer).collect::<BTreeSet<_>>());
-        // Membership decides on the state once the control plane is joined.
-        if !stop.is_cancelled() {
-            path.parts.gate.set_state(GateState::Serving);
-        }
     }
 }
 
--- /dev/null
+++ b/tests/view.rs
@@ -0,0 +1,130 @@
+//! Guards the view of peers against false suspicion, old statements and floods of news.
+
+use std::time::Duration;
+
+use comfreybay::state::{
+    id::{Incarnation, Revision, UpstreamName},
+    priority::Level,
+    view::{NEWS_MAX, News, NodeState, PeerView, Report, Seen},
+};
+use tokio::time::Instant;
+
+const FIRST: Incarnation = Incarnation([1; 16]);
+const SECOND: Incarnation = Incarnation([2; 16]);
+
+fn name(text: &str) -> UpstreamName {
+    text.parse().expect("valid name")
+}
+
+fn report(state: NodeState) -> Report {
+    Report {
+        state,
+        revision: Revision(1),
+        level: Level::OPEN,
+        heard: Instant::now(),
+    }
+}
+
+fn down(subject: &str, incarnation: Incarnation, number: u32, witness: &str) -> News {
+    News::Down {
+        subject: name(subject),
+        incarnation,
+        number,
+        witness: name(witness),
+    }
+}
+
+/// Guards against one node with a bad link declaring a healthy peer down.
+#[test]
+fn down_needs_two_witnesses() {
+    let now = Instant::now();
+    let mut view = PeerView::new(name("a"), FIRST);
+    view.heard(&name("b"), FIRST, report(NodeState::Serving));
+    assert!(view.learn(down("b", FIRST, 0, "c"), now));
+    assert!(!view.learn(down("b", FIRST, 0, "c"), now));
+    assert_eq!(view.seen(&name("b")), Seen::Alive);
+    assert!(view.lost(&name("b"), now));
+    assert_eq!(view.seen(&name("b")), Seen::Down);
+}
+
+/// Guards against news that outlives what the peer says about itself.
+#[test]
+fn own_statement_overrides_news() {
+    let now = Instant::now();
+    let mut view = PeerView::new(name("a"), FIRST);
+    view.heard(&name("b"), FIRST, report(NodeState::Serving));
+    view.learn(down("b", FIRST, 0, "c"), now);
+    view.learn(down("b", FIRST, 0, "d"), now);
+    assert_eq!(view.seen(&name("b")), Seen::Down);
+    let alive = News::Alive {
+        subject: name("b"),
+        incarnation: FIRST,
+        number: 1,
+    };
+    assert!(view.learn(alive, now));
+    assert_eq!(view.seen(&name("b")), Seen::Alive);
+    view.learn(down("b", FIRST, 0, "e"), now);
+    view.learn(down("b", FIRST, 0, "f"), now);
+    assert_eq!(view.seen(&name("b")), Seen::Alive);
+}
+
+/// Guards against a node that believes news about its own end.
+#[test]
+fn news_about_the_node_itself_is_answered() {
+    let now = Instant::now();
+    let mut view = PeerView::new(name("a"), FIRST);
+    view.learn(down("a", FIRST, 4, "b"), now);
+    let answer = view.take_news(now);
+    let alive = News::Alive {
+        subject: name("a"),
+        incarnation: FIRST,
+        number: 5,
+    };
+    assert_eq!(answer, [alive]);
+}
+
+/// Guards against late heartbeats of a process that was replaced.
+#[test]
+fn replaced_incarnation_is_ignored() {
+    let mut view = PeerView::new(name("a"), FIRST);
+    assert!(view.heard(&name("b"), FIRST, report(NodeState::Leaving)));
+    assert_eq!(view.seen(&name("b")), Seen::Leaving);
+    assert!(view.heard(&name("b"), SECOND, report(NodeState::Serving)));
+    assert_eq!(view.seen(&name("b")), Seen::Alive);
+    assert!(!view.heard(&name("b"), FIRST, report(NodeState::Leaving)));
+    assert_eq!(view.seen(&name("b")), Seen::Alive);
+}
+
+/// Guards against news that circles for ever or fills a heartbeat.
+#[test]
+fn news_is_bounded() {
+    let now = Instant::now();
+    let mut view = PeerView::new(name("a"), FIRST);
+    view.set_known(1_024);
+    for n in 0..5_000u32 {
+        view.learn(down(&format!("p{n}"), FIRST, 0, "b"), now);
+    }
+    let mut taken = 0;
+    while view.has_news() {
+        let news = view.take_news(now);
+        assert!(!news.is_empty() && news.len() <= NEWS_MAX);
+        taken += news.len();
+    }
+    // log2(1,024) + 2 = 12 copies of at most 1,024 remembered items.
+    assert!(taken <= 12 * 1_024, "{taken} items sent");
+    let later = now + Duration::from_secs(61);
+    view.prune(|_| false, later);
+    assert_eq!(view.len(), 0);
+}
+
+/// Guards against knowledge that survives a pause of the process.
+#[test]
+fn forget_drops_everything() {
+    let now = Instant::now();
+    let mut view = PeerView::new(name("a"), FIRST);
+    view.heard(&name("b"), FIRST, report(NodeState::Serving));
+    view.learn(down("b", FIRST, 0, "c"), now);
+    view.forget();
+    assert_eq!(view.seen(&name("b")), Seen::Unknown);
+    assert!(!view.has_news());
+}
