--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -19,5 +19,6 @@
 pub mod suspect;
 pub mod ticket;
 pub mod upstream;
+pub mod view;
 
 pub use error::{Error, Result};
