--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod coordination;
 pub mod protocol;
+pub mod standin;
 pub mod state;
 pub mod transport;
