--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod attempts;
 pub mod body;
+pub mod control;
 pub mod egress;
 pub mod health;
 pub mod link;
