--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -20,5 +20,6 @@
 pub mod suspect;
 pub mod ticket;
 pub mod upstream;
+pub mod view;
 
 pub use error::{Error, Result};
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -10,6 +10,7 @@
 pub mod net;
 pub mod node;
 pub mod peer;
+pub mod platform;
 pub mod pool;
 pub mod public;
 pub mod remote;
