Add the check of whole sets of objects and its command line

Operators need every fault of a tree in one run, and a publication whose digest depends on the content alone.

Adds coordination::check (rules over a set of objects, composition of the publication), a YAML reader that keeps the place of each value and reports all faults of a document, and comfreybay-check with explain and diff.

Before: no check.

--- /dev/null
+++ b/src/commands/check/explain.rs
@@ -0,0 +1,116 @@
+//! Who owns an object and which objects refer to it.
+
+use std::fmt::Write;
+
+use super::Tree;
+use crate::{
+    commands::{Error, Result, report},
+    coordination::check::{Entry, nearest},
+    state::object::{Kind, Object},
+};
+
+/// What is known about the objects of a name: owner, place, references in both directions.
+///
+/// # Errors
+/// No object has the name.
+pub fn explain(tree: &Tree, name: &str) -> Result<String> {
+    let entries = &tree.set.entries;
+    let mut out = String::new();
+    for entry in entries.iter().filter(|e| e.object.name() == name) {
+        describe(tree, entry, &mut out);
+    }
+    if out.is_empty() {
+        let known = entries.iter().map(|e| e.object.name());
+        return Err(Error::Name {
+            name: name.to_owned(),
+            help: nearest(name, known).map(|n| format!("did you mean {n}?")),
+        });
+    }
+    Ok(out)
+}
+
+fn line(out: &mut String, text: std::fmt::Arguments<'_>) {
+    // Writing to a string does not fail.
+    let _ = writeln!(out, "{text}");
+}
+
+fn describe(tree: &Tree, entry: &Entry, out: &mut String) {
+    let object = &entry.object;
+    let place = report::place(&tree.sources, &entry.site("name"));
+    line(
+        out,
+        format_args!("{} {} ({place})", object.kind().word(), object.name()),
+    );
+    let owner = object.owner();
+    let contact = tree.set.entries.iter().find_map(|e| match &e.object {
+        Object::Owner(o) if o.name == *owner => Some(o.contact.as_str()),
+        _ => None,
+    });
+    let contact = contact.unwrap_or("not declared");
+    line(out, format_args!("  owner: {owner} ({contact})"));
+    for (what, kind, name) in references(object) {
+        line(out, format_args!("  {what}: {} {name}", kind.word()));
+    }
+    let mut referrers = vec![];
+    for other in &tree.set.entries {
+        for (what, kind, name) in references(&other.object) {
+            if kind == object.kind() && name == object.name() {
+                referrers.push((other, what));
+            }
+        }
+    }
+    if object.kind() == Kind::Owner {
+        let owned = tree
+            .set
+            .entries
+            .iter()
+            .filter(|e| e.object.owner() == owner);
+        referrers.extend(
+            owned
+                .filter(|e| *e != entry)
+                .map(|e| (e, "owner".to_owned())),
+        );
+    }
+    if referrers.is_empty() {
+        line(out, format_args!("  no object refers to it"));
+        return;
+    }
+    line(out, format_args!("  referred to by:"));
+    for (other, what) in referrers {
+        let (word, name, by) = (
+            other.object.kind().word(),
+            other.object.name(),
+            other.object.owner(),
+        );
+        let place = report::place(&tree.sources, &other.site("name"));
+        line(
+            out,
+            format_args!("    {word} {name} of {by}, as {what} ({place})"),
+        );
+    }
+}
+
+/// The references of an object: the key, and kind and name of what is referred to.
+fn references(object: &Object) -> Vec<(String, Kind, &str)> {
+    let own = |what: &str| what.to_owned();
+    match object {
+        Object::Owner(_) | Object::Deployment(_) | Object::Service(_) | Object::Class(_) => vec![],
+        Object::Upstream(o) => vec![(own("service"), Kind::Service, o.service.as_str())],
+        Object::Limit(o) => vec![
+            (own("service"), Kind::Service, o.service.as_str()),
+            (own("class"), Kind::Class, o.class.as_str()),
+        ],
+        Object::Chain(o) => {
+            let mut all = vec![
+                (own("class"), Kind::Class, o.class.as_str()),
+                (own("entry"), Kind::Service, o.entry.as_str()),
+            ];
+            for (caller, called) in &o.calls {
+                for name in called {
+                    all.push((format!("called by {caller}"), Kind::Service, name.as_str()));
+                }
+            }
+            all
+        }
+    }
+}
--- /dev/null
+++ b/src/commands/error.rs
@@ -0,0 +1,94 @@
+use std::{io, path::PathBuf, process::ExitCode};
+
+use miette::Diagnostic;
+use thiserror::Error;
+
+/// Exit code of a run that found faults or could not do its work.
+const FAULTS: u8 = 1;
+/// Exit code of a command line that could not be understood.
+const USAGE: u8 = 2;
+
+/// Errors of the command lines.
+#[derive(Debug, Error, Diagnostic)]
+pub enum Error {
+    /// The command line could not be understood.
+    #[error("could not understand the command line: {0}")]
+    #[diagnostic(code(usage), help("see --help"))]
+    Usage(String),
+    /// Faults were found and have been reported.
+    #[error("faults were found")]
+    Faults,
+    /// A file or folder could not be read.
+    #[error("could not read {}", path.display())]
+    #[diagnostic(code(read))]
+    Read {
+        /// The file or folder.
+        path: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// A file could not be written.
+    #[error("could not write {}", path.display())]
+    #[diagnostic(code(write))]
+    Write {
+        /// The file.
+        path: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// A file is not a publication.
+    #[error("could not read publication {}", path.display())]
+    #[diagnostic(code(publication))]
+    Publication {
+        /// The file.
+        path: PathBuf,
+        /// What the decoder reported.
+        source: serde_json::Error,
+    },
+    /// A publication would not be accepted by nodes that hold the one it replaces.
+    #[error("could not replace {}: it has revision {held}", path.display())]
+    #[diagnostic(
+        code(revision),
+        help("nodes accept only a higher revision; use --revision {} or higher", held + 1)
+    )]
+    Revision {
+        /// The file.
+        path: PathBuf,
+        /// The revision that it holds.
+        held: u64,
+    },
+    /// A name that no object has.
+    #[error("could not find an object named {name:?}")]
+    #[diagnostic(code(name))]
+    Name {
+        /// The name.
+        name: String,
+        /// The name that may have been meant.
+        #[help]
+        help: Option<String>,
+    },
+}
+
+/// Result of the command lines.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+impl From<pico_args::Error> for Error {
+    fn from(error: pico_args::Error) -> Self {
+        Self::Usage(error.to_string())
+    }
+}
+
+/// Reports an error, if any, and gives the exit code: 0, 1 for faults, 2 for usage.
+pub fn finish(result: Result<()>) -> ExitCode {
+    let error = match result {
+        Ok(()) => return ExitCode::SUCCESS,
+        Err(Error::Faults) => return ExitCode::from(FAULTS),
+        Err(error) => error,
+    };
+    let code = match error {
+        Error::Usage(_) => USAGE,
+        _ => FAULTS,
+    };
+    eprintln!("{:?}", miette::Report::new(error));
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,8 @@
+//! The command lines: one file for each command.
+
+pub mod check;
+mod error;
+pub mod report;
+pub mod yaml;
+
+pub use error::{Error, Result, finish};
--- /dev/null
+++ b/src/commands/yaml.rs
@@ -0,0 +1,496 @@
+//! YAML documents with the place of every value, and a reader that reports all faults.
+
+use std::{collections::BTreeMap, fmt, net::SocketAddr, ops::Range, str::FromStr};
+
+use serde::{
+    Deserialize, Deserializer,
+    de::{MapAccess, SeqAccess, Visitor},
+};
+use serde_saphyr::{DuplicateKeyPolicy, Location, Spanned};
+
+use crate::{
+    coordination::check::{Fault, Site, Spans, nearest},
+    state::id::{
+        ChainName, ClassName, DeploymentName, LimitName, OwnerName, RegionName, ServiceName,
+        UpstreamName, ZoneName,
+    },
+};
+
+/// Enough for 26,000 upstreams in one file; the parser's default stops at 1,024 documents.
+const DOCUMENTS_MAX: usize = 100_000;
+/// About 20 values for each object.
+const VALUES_MAX: usize = 2_000_000;
+const EVENTS_MAX: usize = 8_000_000;
+
+/// A value whose type was inferred from its text.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Node {
+    /// No value.
+    Null,
+    /// `true` or `false`.
+    Bool(bool),
+    /// A whole number.
+    Int(i128),
+    /// A number with a fraction, or beyond 64 bits.
+    Float,
+    /// Text.
+    Text(String),
+    /// A list.
+    List(Vec<Value>),
+    /// A mapping, with repeated keys kept.
+    Map(Vec<(Spanned<String>, Value)>),
+}
+
+/// A value with its place.
+pub type Value = Spanned<Node>;
+
+impl Node {
+    fn word(&self) -> &'static str {
+        match self {
+            Self::Null => "nothing",
+            Self::Bool(_) => "true or false",
+            Self::Int(_) => "a whole number",
+            Self::Float => "a number",
+            Self::Text(_) => "text",
+            Self::List(_) => "a list",
+            Self::Map(_) => "a mapping",
+        }
+    }
+}
+
+struct NodeVisitor;
+
+impl<'de> Visitor<'de> for NodeVisitor {
+    type Value = Node;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Node, E> {
+        Ok(Node::Null)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Node, E> {
+        Ok(Node::Bool(value))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Node, E> {
+        Ok(Node::Int(value.into()))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Node, E> {
+        Ok(Node::Int(value.into()))
+    }
+
+    fn visit_f64<E>(self, _: f64) -> Result<Node, E> {
+        Ok(Node::Float)
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Node, E> {
+        Ok(Node::Text(value.to_owned()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut items: A) -> Result<Node, A::Error> {
+        let mut list = vec![];
+        while let Some(item) = items.next_element()? {
+            list.push(item);
+        }
+        Ok(Node::List(list))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut items: A) -> Result<Node, A::Error> {
+        let mut map = vec![];
+        while let Some(item) = items.next_entry()? {
+            map.push(item);
+        }
+        Ok(Node::Map(map))
+    }
+}
+
+impl<'de> Deserialize<'de> for Node {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_any(NodeVisitor)
+    }
+}
+
+/// The documents of a file.
+///
+/// # Errors
+/// The bytes are not UTF-8 or not YAML.
+pub fn parse(file: usize, bytes: &[u8]) -> Result<Vec<Value>, Box<Fault>> {
+    let text = std::str::from_utf8(bytes).map_err(|e| {
+        let start = e.valid_up_to();
+        let site = Site {
+            file,
+            range: start..start + 1,
+        };
+        Fault::new(
+            "not-utf8",
+            site,
+            "file is not UTF-8 text",
+            "first invalid byte",
+        )
+    })?;
+    let options = serde_saphyr::options! {
+        budget: serde_saphyr::budget! {
+            max_documents: DOCUMENTS_MAX,
+            max_nodes: VALUES_MAX,
+            max_events: EVENTS_MAX,
+        },
+        duplicate_keys: DuplicateKeyPolicy::PassThrough,
+        with_snippet: false,
+    };
+    serde_saphyr::from_multiple_with_options(text, options).map_err(|e| {
+        let location = e.location().unwrap_or(Location::UNKNOWN);
+        let site = Site {
+            file,
+            range: range(text, location),
+        };
+        let message = format!("could not parse YAML: {}", plain(&e.to_string()));
+        Box::new(Fault::new("syntax", site, message, "here"))
+    })
+}
+
+/// The parser's message without the place that it ends with; the report shows the place itself.
+fn plain(message: &str) -> &str {
+    message
+        .rsplit_once(" at line ")
+        .map_or(message, |(text, _)| text)
+}
+
+/// The bytes of a location; the parser gives only characters for syntax errors.
+fn range(text: &str, location: Location) -> Range<usize> {
+    let span = location.span();
+    if let (Some(start), Some(len)) = (span.byte_offset(), span.byte_len()) {
+        return start as usize..(start + len) as usize;
+    }
+    let byte = |chars: u64| {
+        let mut starts = text.char_indices().map(|(at, _)| at);
+        starts.nth(chars as usize).unwrap_or(text.len())
+    };
+    byte(span.offset())..byte(span.offset() + span.len())
+}
+
+/// What is common to the values of one document.
+#[derive(Debug)]
+pub struct Reading<'a> {
+    file: usize,
+    text: &'a str,
+    /// Places of the values read so far.
+    pub spans: Spans,
+    /// Faults found so far.
+    pub faults: &'a mut Vec<Fault>,
+}
+
+impl<'a> Reading<'a> {
+    /// Begins to read a document.
+    pub fn new(file: usize, text: &'a str, faults: &'a mut Vec<Fault>) -> Self {
+        Self {
+            file,
+            text,
+            spans: Spans::default(),
+            faults,
+        }
+    }
+
+    /// The place of a location.
+    pub fn site(&self, location: Location) -> Site {
+        Site {
+            file: self.file,
+            range: range(self.text, location),
+        }
+    }
+
+    fn wrong(&mut self, value: &Value, expected: &str) {
+        let message = format!("expected {expected}, found {}", value.value.word());
+        let site = self.site(value.referenced);
+        let label = format!("expected {expected}");
+        self.faults
+            .push(Fault::new("wrong-type", site, message, label));
+    }
+
+    /// The text of a scalar as written, so that a name such as `12` is text.
+    fn scalar<'v>(&self, value: &'v Value) -> Option<std::borrow::Cow<'v, str>> {
+        match &value.value {
+            Node::Text(text) => Some(text.as_str().into()),
+            Node::Bool(_) | Node::Int(_) | Node::Float => {
+                let text = self.text.get(range(self.text, value.defined))?;
+                Some(text.to_owned().into())
+            }
+            _ => None,
+        }
+    }
+
+    fn parsed<T: FromStr<Err: fmt::Display>>(&mut self, value: &Value, what: &str) -> Option<T> {
+        let Some(text) = self.scalar(value) else {
+            self.wrong(value, what);
+            return None;
+        };
+        let error = match text.parse() {
+            Ok(parsed) => return Some(parsed),
+            Err(error) => error,
+        };
+        let site = self.site(value.referenced);
+        let message = error.to_string();
+        let label = format!("expected {what}");
+        self.faults
+            .push(Fault::new("invalid-value", site, message, label));
+        None
+    }
+
+    /// One of a fixed set of words.
+    pub fn choice<T: Copy>(&mut self, value: &Value, choices: &[(&str, T)]) -> Option<T> {
+        let words: Vec<_> = choices.iter().map(|(word, _)| *word).collect();
+        let expected = words.join(", ");
+        let Some(text) = self.scalar(value) else {
+            self.wrong(value, &format!("one of {expected}"));
+            return None;
+        };
+        if let Some((_, choice)) = choices.iter().find(|(word, _)| *word == text) {
+            return Some(*choice);
+        }
+        let site = self.site(value.referenced);
+        let message = format!("{:?} is not known here", text.as_ref());
+        let label = format!("expected one of {expected}");
+        let near = nearest(&text, words).map(|w| format!("did you mean {w}?"));
+        let fault = Fault::new("invalid-value", site, message, label);
+        self.faults.push(fault.maybe_help(near));
+        None
+    }
+}
+
+/// A type that can be read from a value.
+pub trait Read: Sized {
+    /// Reads a value; `None` after a fault was reported.
+    fn read(reading: &mut Reading<'_>, value: &Value, path: &str) -> Option<Self>;
+}
+
+macro_rules! read_text {
+    ($($type:ty, $what:literal;)+) => {
+        $(impl Read for $type {
+            fn read(reading: &mut Reading<'_>, value: &Value, _: &str) -> Option<Self> {
+                reading.parsed(value, $what)
+            }
+        })+
+    };
+}
+
+read_text! {
+    String, "text";
+    ServiceName, "a service name";
+    UpstreamName, "an upstream name";
+    ClassName, "a class name";
+    ChainName, "a chain name";
+    LimitName, "a limit name";
+    ZoneName, "an availability zone";
+    RegionName, "a region";
+    OwnerName, "an owner name";
+    DeploymentName, "a deployment name";
+    SocketAddr, "an IP address and port";
+}
+
+macro_rules! read_number {
+    ($($type:ty),+) => {
+        $(impl Read for $type {
+            fn read(reading: &mut Reading<'_>, value: &Value, _: &str) -> Option<Self> {
+                let Node::Int(number) = value.value else {
+                    reading.wrong(value, "a whole number");
+                    return None;
+                };
+                let read = Self::try_from(number).ok();
+                if read.is_none() {
+                    let site = reading.site(value.referenced);
+                    let message = format!("{number} is out of range");
+                    let label = format!("expected 0 to {}", Self::MAX);
+                    reading.faults.push(Fault::new("out-of-range", site, message, label));
+                }
+                read
+            }
+        })+
+    };
+}
+
+read_number!(u8, u32, u64);
+
+impl Read for bool {
+    fn read(reading: &mut Reading<'_>, value: &Value, _: &str) -> Option<Self> {
+        let Node::Bool(flag) = value.value else {
+            reading.wrong(value, "true or false");
+            return None;
+        };
+        Some(flag)
+    }
+}
+
+impl<T: Read> Read for Vec<T> {
+    fn read(reading: &mut Reading<'_>, value: &Value, path: &str) -> Option<Self> {
+        let Node::List(items) = &value.value else {
+            reading.wrong(value, "a list");
+            return None;
+        };
+        let mut list = Some(vec![]);
+        for (n, item) in items.iter().enumerate() {
+            let path = format!("{path}/{n}");
+            let read = read_at(reading, item, &path);
+            list = list.zip(read).map(|(mut list, read)| {
+                list.push(read);
+                list
+            });
+        }
+        list
+    }
+}
+
+impl<T: Read> Read for BTreeMap<ServiceName, T> {
+    fn read(reading: &mut Reading<'_>, value: &Value, path: &str) -> Option<Self> {
+        let Node::Map(items) = &value.value else {
+            reading.wrong(value, "a mapping");
+            return None;
+        };
+        let mut map = Some(Self::new());
+        for (key, item) in items {
+            let as_value = Spanned::new(Node::Text(key.value.clone()), key.referenced, key.defined);
+            let name: Option<ServiceName> = reading.parsed(&as_value, "a service name");
+            let path = format!("{path}/{}", key.value);
+            let site = reading.site(key.referenced);
+            reading.spans.insert(format!("{path}#"), site.range.clone());
+            let read = read_at(reading, item, &path);
+            let Some((name, read)) = name.zip(read) else {
+                map = None;
+                continue;
+            };
+            let twice = map.as_mut().is_some_and(|m| m.insert(name, read).is_some());
+            if twice {
+                reading.faults.push(duplicate_key(&key.value, site));
+            }
+        }
+        map
+    }
+}
+
+fn read_at<T: Read>(reading: &mut Reading<'_>, value: &Value, path: &str) -> Option<T> {
+    let site = reading.site(value.referenced);
+    reading.spans.insert(path, site.range);
+    T::read(reading, value, path)
+}
+
+fn duplicate_key(key: &str, site: Site) -> Fault {
+    Fault::new(
+        "duplicate-key",
+        site,
+        format!("key {key:?} appears twice"),
+        "second time",
+    )
+}
+
+/// Reads the keys of a mapping; every key asked for is a known one.
+#[derive(Debug)]
+pub struct Fields<'r, 'a, 'v> {
+    reading: &'r mut Reading<'a>,
+    items: &'v [(Spanned<String>, Value)],
+    path: String,
+    start: Location,
+    known: Vec<&'static str>,
+}
+
+impl<'r, 'a, 'v> Fields<'r, 'a, 'v> {
+    /// Begins to read a mapping; `None` after a fault when the value is none.
+    pub fn new(reading: &'r mut Reading<'a>, value: &'v Value, path: &str) -> Option<Self> {
+        let Node::Map(items) = &value.value else {
+            reading.wrong(value, "a mapping");
+            return None;
+        };
+        let start = items
+            .first()
+            .map_or(value.referenced, |(k, _)| k.referenced);
+        let site = reading.site(start);
+        reading.spans.insert(path, site.range);
+        Some(Self {
+            reading,
+            items,
+            path: path.to_owned(),
+            start,
+            known: vec![],
+        })
+    }
+
+    /// The value of a key, if it is present.
+    pub fn value(&mut self, key: &'static str) -> Option<&'v Value> {
+        self.known.push(key);
+        let found = self.items.iter().find(|(k, _)| k.value == key);
+        found.map(|(_, value)| value)
+    }
+
+    /// Reads a key that has to be present.
+    pub fn required<T: Read>(&mut self, key: &'static str) -> Option<T> {
+        let Some(value) = self.value(key) else {
+            self.missing(key);
+            return None;
+        };
+        self.read(key, value)
+    }
+
+    /// Reads a key that may be absent or empty; `None` only after a fault.
+    pub fn optional<T: Read>(&mut self, key: &'static str) -> Option<Option<T>> {
+        match self.value(key) {
+            None => Some(None),
+            Some(value) if value.value == Node::Null => Some(None),
+            Some(value) => self.read(key, value).map(Some),
+        }
+    }
+
+    /// Reads a key with a default; `None` only after a fault.
+    pub fn or<T: Read>(&mut self, key: &'static str, default: T) -> Option<T> {
+        match self.value(key) {
+            None => Some(default),
+            Some(value) => self.read(key, value),
+        }
+    }
+
+    /// Reports a key that has to be present and is not.
+    pub fn missing(&mut self, key: &'static str) {
+        let site = self.reading.site(self.start);
+        let message = format!("key {key:?} is missing");
+        let fault = Fault::new(
+            "missing-key",
+            site,
+            message,
+            format!("{key} is missing here"),
+        );
+        self.reading.faults.push(fault);
+    }
+
+    fn read<T: Read>(&mut self, key: &'static str, value: &Value) -> Option<T> {
+        let path = match self.path.as_str() {
+            "" => key.to_owned(),
+            path => format!("{path}/{key}"),
+        };
+        read_at(self.reading, value, &path)
+    }
+
+    /// What is common to the values of the document.
+    pub fn reading(&mut self) -> &mut Reading<'a> {
+        self.reading
+    }
+
+    /// Reports unknown and repeated keys.
+    pub fn finish(self) {
+        for (n, (key, _)) in self.items.iter().enumerate() {
+            let site = self.reading.site(key.referenced);
+            let known = self.known.contains(&key.value.as_str());
+            if !known {
+                let near = nearest(&key.value, self.known.iter().copied());
+                let help = near.map_or_else(
+                    || format!("known keys: {}", self.known.join(", ")),
+                    |near| format!("did you mean {near}?"),
+                );
+                let message = format!("key {:?} is not known here", key.value);
+                let fault = Fault::new("unknown-key", site, message, "unknown key");
+                self.reading.faults.push(fault.help(help));
+            } else if self.items[..n].iter().any(|(k, _)| k.value == key.value) {
+                self.reading.faults.push(duplicate_key(&key.value, site));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/check/names.rs
@@ -0,0 +1,78 @@
+//! Names that are used twice, and the number of deployments.
+
+use std::collections::BTreeMap;
+
+use super::{Fault, Index, Site, fault::Findings};
+use crate::state::object::Kind;
+
+pub(super) fn check(index: &Index<'_>, found: &mut Findings) {
+    names(index, found);
+    limits(index, found);
+    deployments(index, found);
+}
+
+fn names(index: &Index<'_>, found: &mut Findings) {
+    let mut first = BTreeMap::new();
+    for entry in &index.set.entries {
+        let (kind, name) = (entry.object.kind(), entry.object.name());
+        let Some(before) = first.insert((kind, name), entry) else {
+            continue;
+        };
+        first.insert((kind, name), before);
+        let word = kind.word();
+        let message = format!("{word} {name:?} is declared twice");
+        let fault = Fault::new("duplicate-name", entry.site("name"), message, "second time");
+        found.push(fault.other(before.site("name"), "first time"));
+    }
+}
+
+fn limits(index: &Index<'_>, found: &mut Findings) {
+    let mut first = BTreeMap::new();
+    for (entry, limit) in &index.limits {
+        let key = (&limit.service, &limit.class);
+        let Some(before) = first.insert(key, entry) else {
+            continue;
+        };
+        first.insert(key, before);
+        let message = format!(
+            "class {} on service {} has two limits",
+            limit.class, limit.service
+        );
+        let fault = Fault::new(
+            "duplicate-limit",
+            entry.site("class"),
+            message,
+            "second limit",
+        );
+        found.push(fault.other(before.site("class"), "first limit"));
+    }
+}
+
+fn deployments(index: &Index<'_>, found: &mut Findings) {
+    let broken = index
+        .set
+        .broken
+        .iter()
+        .any(|(kind, _)| *kind == Kind::Deployment);
+    if index.deployments.is_empty() && !broken && !index.set.partial {
+        let site = Site {
+            file: 0,
+            range: 0..0,
+        };
+        let message = "no object of kind Deployment";
+        let fault = Fault::new("no-deployment", site, message, "no deployment in this tree");
+        found.push(fault.help("declare one Deployment with its availability zones"));
+    }
+    let mut all = index.deployments.iter();
+    let Some((first, _)) = all.next() else { return };
+    for (entry, other) in all {
+        let message = format!("deployment {} is a second deployment", other.name);
+        let fault = Fault::new(
+            "second-deployment",
+            entry.site("name"),
+            message,
+            "second one",
+        );
+        found.push(fault.other(first.site("name"), "first one"));
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,1 +1,3 @@
 //! Decisions: admission, routing, retries, acceptance of configuration, membership.
+
+pub mod check;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The folders are layers; each imports only from those after it:
 //! `commands`, `standin`, `transport`, `protocol`, `coordination`, `state`.
 
+pub mod commands;
 pub mod coordination;
 pub mod protocol;
 pub mod state;
--- a/src/state/object.rs
+++ b/src/state/object.rs
@@ -82,7 +82,7 @@
     pub shed_header: String,
 }
 
-fn default_shed_header() -> String {
+pub(crate) fn default_shed_header() -> String {
     "x-shed".to_owned()
 }
 
@@ -133,11 +133,11 @@
     pub retries: u32,
 }
 
-fn default_repeatable() -> bool {
+pub(crate) fn default_repeatable() -> bool {
     true
 }
 
-fn default_retries() -> u32 {
+pub(crate) fn default_retries() -> u32 {
     3
 }
 
@@ -221,3 +221,102 @@
     /// A limit.
     Limit(Limit),
 }
+
+/// The kinds of objects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// An office that owns objects.
+    Owner,
+    /// A whole installation.
+    Deployment,
+    /// A service.
+    Service,
+    /// An upstream.
+    Upstream,
+    /// A request class.
+    Class,
+    /// A chain.
+    Chain,
+    /// A limit.
+    Limit,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 7] = [
+        Self::Owner,
+        Self::Deployment,
+        Self::Service,
+        Self::Upstream,
+        Self::Class,
+        Self::Chain,
+        Self::Limit,
+    ];
+
+    /// The text of the `kind` field.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Owner => "Owner",
+            Self::Deployment => "Deployment",
+            Self::Service => "Service",
+            Self::Upstream => "Upstream",
+            Self::Class => "Class",
+            Self::Chain => "Chain",
+            Self::Limit => "Limit",
+        }
+    }
+
+    /// The word used in messages.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Owner => "owner",
+            Self::Deployment => "deployment",
+            Self::Service => "service",
+            Self::Upstream => "upstream",
+            Self::Class => "class",
+            Self::Chain => "chain",
+            Self::Limit => "limit",
+        }
+    }
+}
+
+impl Object {
+    /// The kind of the object.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Owner(_) => Kind::Owner,
+            Self::Deployment(_) => Kind::Deployment,
+            Self::Service(_) => Kind::Service,
+            Self::Upstream(_) => Kind::Upstream,
+            Self::Class(_) => Kind::Class,
+            Self::Chain(_) => Kind::Chain,
+            Self::Limit(_) => Kind::Limit,
+        }
+    }
+
+    /// The name of the object.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Owner(o) => o.name.as_str(),
+            Self::Deployment(o) => o.name.as_str(),
+            Self::Service(o) => o.name.as_str(),
+            Self::Upstream(o) => o.name.as_str(),
+            Self::Class(o) => o.name.as_str(),
+            Self::Chain(o) => o.name.as_str(),
+            Self::Limit(o) => o.name.as_str(),
+        }
+    }
+
+    /// The owner of the object; an `Owner` object owns itself.
+    pub fn owner(&self) -> &OwnerName {
+        match self {
+            Self::Owner(o) => &o.name,
+            Self::Deployment(o) => &o.owner,
+            Self::Service(o) => &o.owner,
+            Self::Upstream(o) => &o.owner,
+            Self::Class(o) => &o.owner,
+            Self::Chain(o) => &o.owner,
+            Self::Limit(o) => &o.owner,
+        }
+    }
+}
