--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,3 +6,4 @@
 pub mod membership;
 pub mod retry;
 pub mod router;
+pub mod check;
