--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -9,6 +9,7 @@
 pub mod link;
 pub mod memory;
 pub mod net;
+
 pub mod node;
 pub mod peer;
 pub mod platform;
--- a/src/transport/remote.rs
+++ b/src/transport/remote.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{Response, header::CONTENT_LENGTH};
+use http::{HeaderMap, Response, header::CONTENT_LENGTH, response};
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
@@ -14,13 +14,18 @@
         outcome::Outcome,
     },
     state::{
-        id::ServiceName, journal::Step, level::Levels, object::Upstream, priority::Level,
-        ticket::Ticket, upstream::Load,
+        id::{ChainName, RootId, ServiceName, UpstreamName},
+        journal::Step,
+        level::Levels,
+        object::Upstream,
+        priority::Level,
+        ticket::Ticket,
+        upstream::Load,
     },
 };
 
 use super::{
-    body::{BodyError, Start, start},
+    body::{Start, start},
     link::SendError,
     net::Net,
     node::{Parts, Path},
@@ -40,52 +45,85 @@
     ticket: Option<&Ticket>,
 ) -> Reply {
     let parts = &path.parts;
-    parts.note(
-        order.root,
-        Step::Sent {
-            upstream: upstream.name.clone(),
-        },
-    );
-    let (reply, attempt) = exchange(path, &upstream, order, ticket).await;
-    let result = attempt_text(attempt);
-    let ended = Step::Ended {
-        upstream: upstream.name,
-        result: result.into(),
+    let sent = Step::Sent {
+        upstream: upstream.name.clone(),
     };
-    parts.note(order.root, ended);
-    match reply {
-        Answer::Ready(reply) => {
-            if let Some(pick) = pick {
-                pick.finish(attempt);
-            }
-            *reply
+    parts.note(order.root, sent);
+    let mut attempt = Trial {
+        parts,
+        root: order.root,
+        upstream: upstream.name.clone(),
+        pick,
+    };
+    let left = order.left();
+    let request = order.message.to_peer(&upstream.service);
+    let Some(mut request) = request.ok().filter(|_| !left.is_zero()) else {
+        attempt.pick = None;
+        return attempt.unsent(order, Attempt::Cancelled);
+    };
+    let head = CallHead {
+        root: order.root,
+        class: order.class.name.clone(),
+        chain: order.chain.clone(),
+        priority: order.priority,
+        timeout: left,
+        allowance: order.allowance,
+    };
+    head.write(request.headers_mut());
+    if let Some(ticket) = ticket {
+        write(request.headers_mut(), header::TICKET, ticket);
+    }
+    let sent = timeout_at(order.deadline, path.links.send(upstream.peer, request)).await;
+    match sent {
+        Err(_) => attempt.ended(Reply::unknown("deadline"), Attempt::TimedOut),
+        Ok(Err(SendError::Unreachable(_))) => attempt.unsent(order, Attempt::Unreachable),
+        Ok(Err(SendError::Lost(..))) => {
+            attempt.ended(Reply::failed("connection-lost"), Attempt::Lost)
         }
-        Answer::Open(reply, stream) => stream.attach(*reply, pick),
+        Ok(Ok(response)) => answered(attempt, &upstream, order, response).await,
     }
 }
 
-enum Answer {
-    Ready(Box<Reply>),
-    Open(Box<Reply>, Open),
+/// One attempt in progress.
+struct Trial<'a> {
+    parts: &'a Parts,
+    root: RootId,
+    upstream: UpstreamName,
+    pick: Option<Pick>,
 }
 
-/// An answer whose body has not been read to its end.
-struct Open {
-    head: http::response::Parts,
-    start: (std::collections::VecDeque<bytes::Bytes>, Incoming),
-    framing: super::body::Framing,
-    deadline: tokio::time::Instant,
-}
+impl Trial<'_> {
+    fn note(&self, attempt: Attempt) {
+        let ended = Step::Ended {
+            upstream: self.upstream.clone(),
+            result: attempt_text(attempt).into(),
+        };
+        self.parts.note(self.root, ended);
+    }
 
-impl Open {
-    fn attach(self, reply: Reply, pick: Option<Pick>) -> Reply {
-        let (chunks, rest) = self.start;
-        let guard = Guard::Peer(pick);
-        let body = Body::stream(chunks, rest, self.framing, self.deadline, guard);
-        Reply {
-            body,
-            ..Reply::complete(self.head, Body::whole(Default::default()), reply.unused)
+    fn ended(self, reply: Reply, attempt: Attempt) -> Reply {
+        self.note(attempt);
+        if let Some(pick) = self.pick {
+            pick.finish(attempt);
         }
+        reply
+    }
+
+    /// Nothing was sent, so the call did not run.
+    fn unsent(self, order: &Order, attempt: Attempt) -> Reply {
+        let why = attempt_text(attempt);
+        let reply = Reply::not_run(order.allowance, why, self.parts.pause());
+        let reply = Reply {
+            unsent: true,
+            ..reply
+        };
+        self.ended(reply, attempt)
+    }
+
+    /// The answer goes on beyond the buffer; the attempt ends with its body.
+    fn streams(self, body: impl FnOnce(Guard) -> Reply) -> Reply {
+        self.note(Attempt::Answered);
+        body(Guard::Peer(self.pick))
     }
 }
 
@@ -94,113 +132,48 @@
         Attempt::Answered => "answered",
         Attempt::NotRun => "not-run",
         Attempt::Lost => "lost",
-        Attempt::TimedOut => "timed out",
+        Attempt::TimedOut => "timed-out",
         Attempt::Unreachable => "unreachable",
         Attempt::Cancelled => "cancelled",
     }
 }
 
-type Ended = (Answer, Attempt);
-
-fn ready(reply: Reply, attempt: Attempt) -> Ended {
-    (Answer::Ready(Box::new(reply)), attempt)
-}
-
-async fn exchange<N: Net>(
-    path: &Path<N>,
-    upstream: &Upstream,
-    order: &Order,
-    ticket: Option<&Ticket>,
-) -> Ended {
-    let parts = &path.parts;
-    let unsent = |attempt| {
-        let reply = Reply::not_run(order.allowance, attempt_text(attempt), parts.pause());
-        ready(
-            Reply {
-                unsent: true,
-                ..reply
-            },
-            attempt,
-        )
-    };
-    let left = order.left();
-    let Ok(mut request) = order.message.to_peer(&upstream.service) else {
-        return unsent(Attempt::Unreachable);
-    };
-    if left.is_zero() {
-        return unsent(Attempt::NotRun);
-    }
-    let head = CallHead {
-        root: order.root,
-        class: order.class.name.clone(),
-        chain: order.chain.clone(),
-        priority: order.priority,
-        timeout: left,
-        allowance: order.allowance,
-    };
-    head.write(request.headers_mut());
-    if let Some(ticket) = ticket {
-        write(request.headers_mut(), header::TICKET, ticket);
-    }
-    let sent = timeout_at(order.deadline, path.links.send(upstream.peer, request)).await;
-    match sent {
-        Err(_) => ready(Reply::unknown("deadline"), Attempt::TimedOut),
-        Ok(Err(SendError::Unreachable(_))) => unsent(Attempt::Unreachable),
-        Ok(Err(SendError::Lost(..))) => ready(Reply::failed("connection-lost"), Attempt::Lost),
-        Ok(Ok(response)) => answered(parts, upstream, order, response).await,
-    }
-}
-
 async fn answered(
-    parts: &Parts,
+    attempt: Trial<'_>,
     upstream: &Upstream,
     order: &Order,
     response: Response<Incoming>,
-) -> Ended {
+) -> Reply {
     let (head, body) = response.into_parts();
     let Ok(outcome) = read_outcome(&head.headers) else {
-        return ready(Reply::failed("malformed-answer"), Attempt::Lost);
+        return attempt.ended(Reply::failed("malformed-answer"), Attempt::Lost);
     };
-    learn(parts, &upstream.service, upstream, &head.headers);
-    let lent = order.allowance;
-    let unused = read(&head.headers, header::UNUSED)
-        .ok()
-        .flatten()
-        .unwrap_or(0);
-    let unused = lent.min(unused);
+    learn(attempt.parts, &upstream.service, upstream, &head.headers);
+    let unused = read(&head.headers, header::UNUSED).ok().flatten();
+    let unused = order.allowance.min(unused.unwrap_or(0));
     if outcome != Outcome::Complete {
-        return refused(parts, outcome, unused, &head);
+        let reply = refused(attempt.parts, outcome, unused, &head);
+        let ended = reply.attempt();
+        return attempt.ended(reply, ended);
     }
     let framing = peer_framing(&order.message.method, &head);
-    let started = match timeout_at(order.deadline, start(body, framing)).await {
-        Err(_) => return ready(Reply::unknown("deadline"), Attempt::TimedOut),
-        Ok(Err(BodyError::TimedOut)) => {
-            return ready(Reply::unknown("deadline"), Attempt::TimedOut);
-        }
-        Ok(Err(_)) => return ready(Reply::failed("answer-broken"), Attempt::Lost),
-        Ok(Ok(started)) => started,
-    };
-    match started {
-        Start::Whole(bytes) => {
+    match timeout_at(order.deadline, start(body, framing)).await {
+        Err(_) => attempt.ended(Reply::unknown("deadline"), Attempt::TimedOut),
+        Ok(Err(_)) => attempt.ended(Reply::failed("answer-broken"), Attempt::Lost),
+        Ok(Ok(Start::Whole(bytes))) => {
             let ticket = read(&head.headers, header::TICKET).ok().flatten();
             let reply = Reply::complete(head, Body::whole(bytes), unused);
-            ready(Reply { ticket, ..reply }, Attempt::Answered)
-        }
-        Start::Partial(chunks, rest) => {
-            let mut reply = Reply::unknown("");
-            reply.unused = unused;
-            let open = Open {
-                head,
-                start: (chunks, rest),
-                framing,
-                deadline: order.deadline,
-            };
-            (Answer::Open(Box::new(reply), open), Attempt::Answered)
+            attempt.ended(Reply { ticket, ..reply }, Attempt::Answered)
         }
+        Ok(Ok(Start::Partial(chunks, rest))) => attempt.streams(|guard| {
+            let body = Body::stream(chunks, rest, framing, order.deadline, guard);
+            Reply::complete(head, body, unused)
+        }),
     }
 }
 
-fn refused(parts: &Parts, outcome: Outcome, unused: u32, head: &http::response::Parts) -> Ended {
+/// The answer of a peer that is not complete.
+fn refused(parts: &Parts, outcome: Outcome, unused: u32, head: &response::Parts) -> Reply {
     let headers = &head.headers;
     let why: String = read(headers, header::WHY)
         .ok()
@@ -213,18 +186,16 @@
         Outcome::Failed => Reply::failed(why),
         _ => Reply::unknown(why),
     };
-    let reply = Reply {
+    Reply {
         convicted: headers.contains_key(header::CONVICTED),
         ticket: read(headers, header::TICKET).ok().flatten(),
         status: head.status,
         unused,
         ..reply
-    };
-    let attempt = reply.attempt();
-    ready(reply, attempt)
+    }
 }
 
-fn learn(parts: &Parts, service: &ServiceName, upstream: &Upstream, headers: &http::HeaderMap) {
+fn learn(parts: &Parts, service: &ServiceName, upstream: &Upstream, headers: &HeaderMap) {
     let levels: Levels = read(headers, header::LEVELS)
         .ok()
         .flatten()
@@ -242,11 +213,7 @@
 }
 
 /// Writes what a node tells other nodes on each answer, and makes the end of the body provable.
-pub fn to_peer(
-    parts: &Parts,
-    chain: Option<&crate::state::id::ChainName>,
-    reply: Reply,
-) -> Response<Body> {
+pub fn to_peer(parts: &Parts, chain: Option<&ChainName>, reply: Reply) -> Response<Body> {
     let unused = reply.unused;
     let mut response = reply.into_response();
     let levels = parts.levels(chain);
