--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,4 +1,13 @@
 //! Wire forms: headers, control messages, the platform's documents.
 
+pub mod call;
 pub mod header;
+pub mod hop;
+pub mod message;
 pub mod outcome;
+/// Generated from `peer.capnp` by `tools/schema`.
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::all, clippy::unimplemented, reason = "generated code")]
+pub mod peer_capnp;
+pub mod platform;
+pub mod report;
