Read and check the settings of a node

A node that starts with a wrong address or a misspelt key fails much later and at another place.

Before: no reader.

--- a/src/commands/error.rs
+++ b/src/commands/error.rs
@@ -3,6 +3,8 @@
 use miette::Diagnostic;
 use thiserror::Error;
 
+use super::report::{self, Together};
+
 /// Exit code of a run that found faults or could not do its work.
 const FAULTS: u8 = 1;
 /// Exit code of a command line that could not be understood.
@@ -18,6 +20,10 @@
     /// Faults were found and have been reported.
     #[error("faults were found")]
     Faults,
+    /// Settings have faults.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(Box<Together>),
     /// A file or folder could not be read.
     #[error("could not read {}", path.display())]
     #[diagnostic(code(read))]
@@ -89,6 +95,6 @@
         Error::Usage(_) => USAGE,
         _ => FAULTS,
     };
-    eprintln!("{:?}", miette::Report::new(error));
+    eprint!("{}", report::diagnostic(&error, report::is_terminal()));
     ExitCode::from(code)
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 mod error;
 pub mod report;
+pub mod settings;
 pub mod yaml;
 
 pub use error::{Error, Result, finish};
--- a/src/commands/report.rs
+++ b/src/commands/report.rs
@@ -58,6 +58,61 @@
     byte
 }
 
+/// Several faults of one file as one diagnostic.
+#[derive(Debug)]
+pub struct Together {
+    title: String,
+    source: NamedSource<String>,
+    labels: Vec<LabeledSpan>,
+}
+
+impl fmt::Display for Together {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.title)
+    }
+}
+
+impl std::error::Error for Together {}
+
+impl Diagnostic for Together {
+    fn source_code(&self) -> Option<&dyn miette::SourceCode> {
+        Some(&self.source)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(self.labels.iter().cloned()))
+    }
+}
+
+/// All faults of one file as one diagnostic with a caret for each.
+pub fn together(title: &str, source: &Source, faults: &[Fault]) -> Box<Together> {
+    let title = match faults {
+        [fault] => format!("{title}: {}", fault.message),
+        faults => format!("{title}: {} faults", faults.len()),
+    };
+    let label = |fault: &Fault| {
+        let Fault {
+            message,
+            label,
+            help,
+            ..
+        } = fault;
+        let text = match (help, faults.len()) {
+            (Some(help), 1) => format!("{label}; {help}"),
+            (None, 1) => label.clone(),
+            (Some(help), _) => format!("{message}; {help}"),
+            (None, _) if message.contains(label.as_str()) => message.clone(),
+            (None, _) => format!("{message}: {label}"),
+        };
+        LabeledSpan::new_with_span(Some(text), source.visible(&fault.site.range))
+    };
+    Box::new(Together {
+        title,
+        labels: faults.iter().map(label).collect(),
+        source: NamedSource::new(&source.path, source.text.clone()),
+    })
+}
+
 #[derive(Debug)]
 struct Shown<'a> {
     fault: &'a Fault,
@@ -142,25 +197,31 @@
     format!("{}:{line}:{column}", source.path)
 }
 
-/// All findings as text with line and caret.
-pub fn text(sources: &[Source], faults: &[Fault], colour: bool) -> String {
+fn handler(colour: bool) -> GraphicalReportHandler {
     let mut theme = GraphicalTheme::none();
     if colour {
         theme.styles = miette::ThemeStyles::ansi();
     }
-    let handler = GraphicalReportHandler::new_themed(theme)
+    GraphicalReportHandler::new_themed(theme)
         .with_width(WIDTH)
         .with_context_lines(1)
-        .without_syntax_highlighting();
+        .without_syntax_highlighting()
+}
+
+/// One diagnostic as text.
+pub fn diagnostic(diagnostic: &dyn Diagnostic, colour: bool) -> String {
+    let mut out = String::new();
+    if handler(colour).render_report(&mut out, diagnostic).is_err() {
+        out.push_str(&diagnostic.to_string());
+    }
+    out
+}
+
+/// All findings as text with line and caret.
+pub fn text(sources: &[Source], faults: &[Fault], colour: bool) -> String {
     let mut out = String::new();
     for fault in faults {
-        // Writing to a string does not fail; a span that cannot be shown is left out.
-        if handler
-            .render_report(&mut out, &shown(sources, fault))
-            .is_err()
-        {
-            out.push_str(&fault.message);
-        }
+        out.push_str(&diagnostic(&shown(sources, fault), colour));
         out.push('\n');
     }
     out
