Add comfreybay-bench with experiments for the data path

Targets need runs beside baselines. Adds the command with live runs on loopback, scripted experiments in virtual time with JSON and HTML reports and bounds, and the stand-ins alone; and scripts for overload, important classes, surge, lost zone, leaving server, rolling restart and mixed faults for both deployments.

Before: no command.

--- a/src/bin/comfreybay-bench.rs
+++ b/src/bin/comfreybay-bench.rs
@@ -1,3 +1,10 @@
-//! Experiments with stand-ins for the platform.
+//! Load and experiments with stand-ins for the platform.
 
-fn main() {}
+use std::process::ExitCode;
+
+use comfreybay::commands::bench;
+use pico_args::Arguments;
+
+fn main() -> ExitCode {
+    bench::run(Arguments::from_env())
+}
--- /dev/null
+++ b/src/commands/bench/standins.rs
@@ -0,0 +1,84 @@
+use std::{fs, path::Path, time::Duration};
+
+use tokio::{
+    signal,
+    task::{JoinSet, LocalSet},
+    time::Instant,
+};
+
+use crate::{
+    commands::{Error, Result},
+    standin::{
+        caller::{Callers, Dial, Manners},
+        experiment::{Capacity, flows, make},
+        fleet::Fleet,
+        script::Script,
+        tally::Tally,
+        world::{CALLERS, Loopback, World},
+    },
+    state::publication::Publication,
+    transport::memory::Process,
+};
+
+const SCRIPT: &str = include_str!("live.yaml");
+const LONGEST_S: u64 = 86_400;
+
+/// Runs the stand-ins until the process is interrupted.
+pub fn run(publication: &Publication, settings: Option<&Path>, demand: f64) -> Result<()> {
+    let fault = |reason: String| Error::Experiment(reason);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| fault(e.to_string()))?;
+    let mut script: Script = serde_saphyr::from_str(SCRIPT).map_err(|e| fault(e.to_string()))?;
+    script.demand = demand;
+    let capacity = Capacity::new(&script, publication).map_err(|e| fault(e.to_string()))?;
+    LocalSet::new().block_on(&runtime, async {
+        let make = make(&script, &capacity, script.seed);
+        let fleet = Fleet::new(Loopback, publication, make);
+        for name in fleet.names() {
+            let own = fleet.settings(&name).map_err(|e| fault(e.to_string()))?;
+            // JSON is YAML, so that the node can read it.
+            let text = serde_json::to_string_pretty(&own).map_err(|e| fault(e.to_string()))?;
+            match settings {
+                Some(dir) => write(&dir.join(format!("{name}.yaml")), &text)?,
+                None => println!("{text}"),
+            }
+            fleet.advertise(&name, true);
+        }
+        fleet.start_platform();
+        fleet.start_servers();
+        eprintln!("state=running upstreams={}", fleet.names().len());
+        let flows = flows(&script, publication, &capacity).map_err(|e| fault(e.to_string()))?;
+        let mut classes = Vec::new();
+        for flow in &flows {
+            if !classes.contains(&flow.class) {
+                classes.push(flow.class.clone());
+            }
+        }
+        let tally = Tally::new(&classes);
+        let net = Loopback.net(CALLERS, Process::default());
+        let dial = Dial::new(Manners::default());
+        let callers = Callers::new(net, fleet.directory(), dial, tally, script.seed);
+        let end = Instant::now() + Duration::from_secs(LONGEST_S);
+        let mut tasks = JoinSet::new();
+        for flow in flows {
+            tasks.spawn_local(callers.clone().run(flow, end));
+        }
+        let _ = signal::ctrl_c().await;
+        tasks.shutdown().await;
+        fleet.shutdown().await;
+        Ok(())
+    })
+}
+
+fn write(path: &Path, text: &str) -> Result<()> {
+    let fault = |source| Error::Write {
+        path: path.to_owned(),
+        source,
+    };
+    if let Some(dir) = path.parent() {
+        fs::create_dir_all(dir).map_err(fault)?;
+    }
+    fs::write(path, text).map_err(fault)
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The command lines: one file for each command.
 
+pub mod bench;
 pub mod check;
 mod error;
 pub mod report;
--- a/src/standin/event.rs
+++ b/src/standin/event.rs
@@ -12,6 +12,7 @@
     configuration::{Mode, Snapshot},
     fleet::Fleet,
     script::{Event, Fault},
+    world::World,
 };
 use crate::{
     state::{id::UpstreamName, object::Upstream},
@@ -30,12 +31,11 @@
 }
 
 /// What events act on; cheap to clone.
-#[derive(Clone)]
-pub struct Stage {
-    /// The network.
-    pub network: Network,
+pub struct Stage<W> {
+    /// The network, when it is in memory; cuts have no effect otherwise.
+    pub network: Option<Network>,
     /// The nodes and stand-ins.
-    pub fleet: Fleet<Network>,
+    pub fleet: Fleet<W>,
     /// Demand and manners of the callers.
     pub dial: Dial,
     /// Manners outside of events.
@@ -46,7 +46,20 @@
     pub leaves: Rc<RefCell<Vec<Leave>>>,
 }
 
-impl Stage {
+impl<W> Clone for Stage<W> {
+    fn clone(&self) -> Self {
+        Self {
+            network: self.network.clone(),
+            fleet: self.fleet.clone(),
+            dial: self.dial.clone(),
+            manners: self.manners,
+            old: self.old.clone(),
+            leaves: self.leaves.clone(),
+        }
+    }
+}
+
+impl<W: World> Stage<W> {
     /// Applies and ends one event.
     pub async fn apply(self, event: Event, start: Instant) {
         sleep_until(start + seconds(event.at_s)).await;
@@ -154,9 +167,12 @@
     }
 
     fn cut(&self, on: bool, from: Place, to: Place) {
+        let Some(network) = &self.network else {
+            return;
+        };
         match on {
-            true => self.network.cut(from, to),
-            false => self.network.heal(from, to),
+            true => network.cut(from, to),
+            false => network.heal(from, to),
         }
     }
 
--- a/src/standin/experiment.rs
+++ b/src/standin/experiment.rs
@@ -16,15 +16,19 @@
     event::{Leave, Stage},
     fleet::{Fleet, Make},
     ledger::Ledger,
-    measure::{self, ClassResult, Window},
+    measure::{self, ClassResult, Series, Window},
     plan,
     script::{Event, Script},
-    tally::{Line, Tally},
-    world::{self, CALLERS, World},
+    tally::Tally,
+    world::{self, CALLERS, Loopback, World},
 };
 use crate::{
-    state::{id::ServiceName, object::Control, publication::Publication},
-    transport::memory::Process,
+    state::{
+        id::ServiceName,
+        object::{Class, Control},
+        publication::Publication,
+    },
+    transport::memory::{Network, Process},
 };
 
 /// Time from the start of the processes to the first request, in s.
@@ -61,9 +65,8 @@
     pub classes: Vec<ClassResult>,
     /// Errors with which processes ended.
     pub errors: Vec<String>,
-    /// The time line, for plots.
-    #[serde(skip)]
-    pub lines: Vec<Line>,
+    /// The time line by class, for plots.
+    pub series: Vec<Series>,
 }
 
 /// Capacity of the chains of a publication.
@@ -99,14 +102,15 @@
         };
         let key = |s: &&ServiceName| (slots(s), std::cmp::Reverse(depth(s)));
         let deepest = all.keys().min_by_key(key).ok_or_else(missing)?.clone();
-        let work = |name: &ServiceName| {
-            let ms = match *name == deepest {
+        let ms = |name: &ServiceName| {
+            let own = script.work.services_ms.get(name).copied();
+            own.unwrap_or(match *name == deepest {
                 true => script.work.deepest_ms,
                 false => script.work.others_ms,
-            };
-            (name.clone(), Duration::from_millis(ms))
+            })
         };
-        let rate = f64::from(slots(&deepest)) * 1_000.0 / script.work.deepest_ms as f64;
+        let work = |name: &ServiceName| (name.clone(), Duration::from_millis(ms(name)));
+        let rate = f64::from(slots(&deepest)) * 1_000.0 / ms(&deepest) as f64;
         Ok(Self {
             work: all.keys().map(work).collect(),
             deepest,
@@ -161,31 +165,58 @@
         .start_paused(true)
         .build()
         .expect("a runtime without I/O needs no resources");
+    let publication = plan::controlled(publication, control);
     let local = LocalSet::new();
-    local.block_on(&runtime, one(script, publication, control, seed))
+    local.block_on(&runtime, async {
+        let network = world::memory(&publication, script.latency.into(), seed)?;
+        network.set_loss(script.loss);
+        drive(script, &publication, network.clone(), Some(network), seed).await
+    })
 }
 
-async fn one(
+/// Runs a script once on the loopback addresses of this machine, in real time.
+///
+/// # Errors
+/// The publication does not fit the script.
+pub async fn live(
     script: &Script,
     publication: &Publication,
     control: Control,
     seed: u64,
 ) -> Result<Run> {
     let publication = plan::controlled(publication, control);
-    let capacity = Capacity::new(script, &publication)?;
-    let network = world::memory(&publication, script.latency.into(), seed)?;
-    network.set_loss(script.loss);
-    let make = Make {
+    drive(script, &publication, Loopback, None, seed).await
+}
+
+/// What a fleet of a script is made of.
+pub fn make(script: &Script, capacity: &Capacity, seed: u64) -> Make {
+    Make {
         work: capacity.work.clone(),
         cold: Duration::from_millis(script.work.cold_ms),
         waiting: script.work.waiting,
         seed,
-    };
-    let fleet = Fleet::new(network.clone(), &publication, make);
+    }
+}
+
+async fn drive<W: World>(
+    script: &Script,
+    publication: &Publication,
+    world: W,
+    network: Option<Network>,
+    seed: u64,
+) -> Result<Run> {
+    let capacity = Capacity::new(script, publication)?;
+    let make = make(script, &capacity, seed);
+    let fleet = Fleet::new(world.clone(), publication, make);
     fleet.start();
     sleep(Duration::from_secs_f64(SETTLE_S)).await;
-    let flows = flows(script, &publication, &capacity)?;
-    let classes: Vec<_> = flows.iter().map(|f| f.class.clone()).collect();
+    let flows = flows(script, publication, &capacity)?;
+    let mut classes: Vec<Class> = Vec::new();
+    for flow in &flows {
+        if !classes.contains(&flow.class) {
+            classes.push(flow.class.clone());
+        }
+    }
     let tally = Tally::new(&classes);
     let manners = script.retry.into();
     let dial = Dial::new(manners);
@@ -199,7 +230,7 @@
     };
     let mut events = script.events.clone();
     if script.chaos {
-        events.extend(chaos::events(&publication, seed, script.length_s));
+        events.extend(chaos::events(publication, seed, script.length_s));
     }
     let measured = Instant::now() + Duration::from_secs_f64(script.warmup_s);
     let end = measured + Duration::from_secs_f64(script.length_s);
@@ -207,7 +238,7 @@
     for event in events.clone() {
         happening.spawn_local(stage.clone().apply(event, measured));
     }
-    let net = World::net(&network, CALLERS, Process::default());
+    let net = world.net(CALLERS, Process::default());
     let callers = Callers::new(net, fleet.directory(), dial, tally.clone(), seed);
     let mut sending = JoinSet::new();
     for flow in flows.clone() {
@@ -216,13 +247,16 @@
     sleep_until(end).await;
     while sending.join_next().await.is_some() {}
     happening.shutdown().await;
-    network.heal_all();
+    if let Some(network) = network {
+        network.heal_all();
+    }
     let errors = fleet.shutdown().await;
     let audit = Audit::new(&tally, fleet.ledger(), &capacity.deepest);
     let window = window(script, &events);
     let late = late_work(fleet.ledger(), &stage.leaves);
     let mut run = measure::measure(&tally, &flows, &capacity, window);
-    (run.seed, run.control, run.late_work) = (seed, control, late);
+    (run.seed, run.late_work) = (seed, late);
+    run.control = publication.head.deployment.control;
     (run.audit, run.errors) = (audit, errors);
     Ok(run)
 }
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -429,7 +429,8 @@
         }
     }
 
-    fn advertise(&self, name: &UpstreamName, present: bool) {
+    /// Tells callers of a node, or to forget it.
+    pub fn advertise(&self, name: &UpstreamName, present: bool) {
         let units = self.0.units.borrow();
         let Some(unit) = units.get(name) else {
             return;
--- a/src/standin/measure.rs
+++ b/src/standin/measure.rs
@@ -11,7 +11,7 @@
     experiment::{Capacity, Run},
     tally::{BUCKET_MS, Bucket, LATENCY_MAX_US, Line, Tally, Told, sum},
 };
-use crate::state::{id::ClassName, object::Control};
+use crate::state::object::Control;
 
 /// Goodput is normal again at this share of the goodput before the disturbance.
 const NORMAL_SHARE: f64 = 0.99;
@@ -35,7 +35,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct ClassResult {
     /// The class.
-    pub class: ClassName,
+    pub class: String,
     /// Requests that arrived.
     pub offered: u64,
     /// Requests that ended with the whole answer.
@@ -52,6 +52,50 @@
     pub p99_ms: f64,
 }
 
+/// Width of one point of a time line.
+pub const SLICE_MS: u64 = 500;
+
+/// The time line of one class, in points of [`SLICE_MS`] from the start of the warm-up.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Series {
+    /// The class.
+    pub class: String,
+    /// Arrivals per second.
+    pub offered: Vec<f64>,
+    /// Whole answers per second, by time of receipt.
+    pub goodput: Vec<f64>,
+    /// Share of the arrivals that ended with the whole answer.
+    pub share: Vec<f64>,
+    /// 99th percentile of the latency by time of arrival, in ms.
+    pub p99_ms: Vec<f64>,
+}
+
+fn series(line: &Line, window: Window) -> Series {
+    let slice = Duration::from_millis(SLICE_MS);
+    let count = (window.end.as_millis() as u64).div_ceil(SLICE_MS);
+    let sums = (0..count).map(|n| sum([line], slice * n as u32, slice * (n as u32 + 1)));
+    let sums: Vec<Bucket> = sums.collect();
+    let rate = |n: u64| n as f64 * 1_000.0 / SLICE_MS as f64;
+    let share = |b: &Bucket| {
+        if b.offered == 0 {
+            1.0
+        } else {
+            ratio(b.good, b.offered)
+        }
+    };
+    let p99 = |n| {
+        let own = line.latency.get(&n);
+        own.map_or(0.0, |h| h.value_at_quantile(0.99) as f64 / 1_000.0)
+    };
+    Series {
+        class: line.class.name.to_string(),
+        offered: sums.iter().map(|b| rate(b.offered)).collect(),
+        goodput: sums.iter().map(|b| rate(b.delivered)).collect(),
+        share: sums.iter().map(share).collect(),
+        p99_ms: (0..count).map(p99).collect(),
+    }
+}
+
 /// The measures of one run, apart from those that the executions give.
 pub fn measure(tally: &Tally, flows: &[Flow], capacity: &Capacity, window: Window) -> Run {
     let lines = tally.lines();
@@ -80,7 +124,7 @@
         audit: Audit::default(),
         classes: lines.iter().map(|l| class(l, window)).collect(),
         errors: Vec::new(),
-        lines,
+        series: lines.iter().map(|l| series(l, window)).collect(),
     }
 }
 
@@ -102,12 +146,13 @@
     let total = sum([line], window.measured, window.end);
     let mut latency =
         Histogram::<u64>::new_with_max(LATENCY_MAX_US, 3).expect("valid bounds of a histogram");
-    for (_, own) in line.latency.range(window.measured.as_secs()..) {
+    let slice = window.measured.as_millis() as u64 / SLICE_MS;
+    for (_, own) in line.latency.range(slice..) {
         let _ = latency.add(own);
     }
     let ms = |q| latency.value_at_quantile(q) as f64 / 1_000.0;
     ClassResult {
-        class: line.class.name.clone(),
+        class: line.class.name.to_string(),
         offered: total.offered,
         good: total.good,
         refused: total.refused,
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -13,8 +13,11 @@
 pub mod ledger;
 pub mod measure;
 pub mod plan;
+pub mod plot;
+pub mod report;
 pub mod script;
 pub mod server;
+pub mod sweep;
 pub mod tally;
 pub mod world;
 
--- a/src/standin/script.rs
+++ b/src/standin/script.rs
@@ -132,7 +132,7 @@
 }
 
 /// Own time of the backend servers.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Work {
     /// Mean at the service with the fewest slots, in ms.
@@ -141,6 +141,8 @@
     pub deepest_ms: u64,
     /// Mean at all other services, in ms.
     pub others_ms: u64,
+    /// Mean at single services, in ms.
+    pub services_ms: BTreeMap<ServiceName, u64>,
     /// Time until a backend server is warm, in ms.
     pub cold_ms: u64,
     /// Requests that wait in a backend server before it sheds.
@@ -152,6 +154,7 @@
         Self {
             deepest_ms: 150,
             others_ms: 20,
+            services_ms: BTreeMap::new(),
             cold_ms: 3_000,
             waiting: 1_000,
         }
--- a/src/standin/tally.rs
+++ b/src/standin/tally.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::Histogram;
 use tokio::time::Instant;
 
-use super::ledger::AttemptId;
+use super::{ledger::AttemptId, measure::SLICE_MS};
 use crate::state::{id::ClassName, object::Class};
 
 /// Width of one bucket of the time line.
@@ -93,7 +93,7 @@
     pub class: Class,
     /// By time since the start.
     pub buckets: Vec<Bucket>,
-    /// Latency of whole answers, in us, by second of arrival.
+    /// Latency of whole answers, in us, by slice of [`super::measure::SLICE_MS`] of arrival.
     pub latency: BTreeMap<u64, Histogram<u64>>,
 }
 
@@ -162,11 +162,14 @@
         }
         self.edit(class, now, |b| b.delivered += 1);
         let mut state = self.0.borrow_mut();
-        let second = arrived.saturating_duration_since(state.start).as_secs();
+        let age = arrived.saturating_duration_since(state.start).as_millis() as u64;
         let latency = now.saturating_duration_since(arrived).as_micros() as u64;
-        let histogram = state.lines[class].latency.entry(second).or_insert_with(|| {
-            Histogram::new_with_max(LATENCY_MAX_US, 3).expect("valid bounds of a histogram")
-        });
+        let histogram = state.lines[class]
+            .latency
+            .entry(age / SLICE_MS)
+            .or_insert_with(|| {
+                Histogram::new_with_max(LATENCY_MAX_US, 3).expect("valid bounds of a histogram")
+            });
         histogram.saturating_record(latency.max(1));
     }
 
