--- a/src/commands/bench/live.rs
+++ b/src/commands/bench/live.rs
@@ -10,7 +10,7 @@
     state::publication::Publication,
 };
 
-/// The whole run takes three times (4 + 2 + 12) s.
+/// The whole run takes three times (4 + 2 + 10) s.
 const SCRIPT: &str = include_str!("live.yaml");
 
 /// Measures a deployment on loopback with adaptive control and two baselines.
