--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -1,15 +1,15 @@
 //! Admission of calls to the node's own backend server.
 
+mod classes;
 mod core;
+mod isolation;
+mod proven;
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use tokio::{
-    sync::oneshot,
-    time::{Instant, timeout_at},
-};
+use tokio::time::{Instant, timeout_at};
 
-use self::core::{Core, Entered};
+use self::core::{Core, Entered, Refused};
 use crate::state::{
     config::Config,
     id::{ClassName, Fingerprint, UpstreamName},
@@ -102,7 +102,7 @@
 
     /// Takes over slots, class limits, favour and control of a configuration.
     pub fn apply(&self, own: &UpstreamName, config: &Config) {
-        self.core.borrow_mut().apply(own, config, Instant::now());
+        self.core.borrow_mut().apply(own, config);
         self.dispatch();
     }
 
@@ -111,31 +111,31 @@
     /// # Errors
     /// The call is refused and was not dispatched.
     pub async fn admit(&self, ask: Ask) -> Result<Permit, Refusal> {
-        let (sender, receiver) = oneshot::channel();
-        let entered = self.core.borrow_mut().enter(ask, sender, Instant::now());
-        let (place, until) = match entered {
+        let mut evicted = Vec::new();
+        let entered = self
+            .core
+            .borrow_mut()
+            .enter(ask.clone(), &mut evicted, Instant::now());
+        answer_refused(evicted);
+        let (place, until, receiver) = match entered {
             Entered::Admitted(id) => return Ok(self.permit(id)),
             Entered::Refused(refusal) => return Err(refusal),
-            Entered::Waiting(place, until) => (place, until),
-            Entered::Evicted(place, until, evicted, refusal) => {
-                // A receiver that is gone needs no answer.
-                let _ = evicted.send(Err(refusal));
-                (place, until)
-            }
+            Entered::Waiting(place, until, receiver) => (place, until, receiver),
         };
         let _waiting = Waiting { gate: self, place };
         match timeout_at(until, receiver).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(_)) | Err(_) => Err(self.core.borrow_mut().timed_out(&place, Instant::now())),
+            Ok(Err(_)) | Err(_) => {
+                let now = Instant::now();
+                Err(self.core.borrow_mut().timed_out(&place, &ask, now))
+            }
         }
     }
 
     /// Recomputes the level and applies the wait limits; called every 100 ms.
     pub fn tick(&self) {
         let refused = self.core.borrow_mut().tick(Instant::now());
-        for (reply, refusal) in refused {
-            let _ = reply.send(Err(refusal));
-        }
+        answer_refused(refused);
         self.dispatch();
     }
 
@@ -152,9 +152,7 @@
     /// Sets what may be admitted.
     pub fn set_state(&self, state: GateState) {
         let refused = self.core.borrow_mut().set_state(state, Instant::now());
-        for (reply, refusal) in refused {
-            let _ = reply.send(Err(refusal));
-        }
+        answer_refused(refused);
         self.dispatch();
     }
 
@@ -164,9 +162,7 @@
     /// [`Why::Down`] until [`Gate::server_restarted`].
     pub fn server_lost(&self) -> Vec<Fingerprint> {
         let (lost, refused) = self.core.borrow_mut().server_lost(Instant::now());
-        for (reply, refusal) in refused {
-            let _ = reply.send(Err(refusal));
-        }
+        answer_refused(refused);
         lost
     }
 
@@ -212,6 +208,13 @@
     }
 }
 
+/// Answers calls that are refused; one whose caller is gone needs no answer.
+fn answer_refused(refused: Refused) {
+    for (reply, refusal) in refused {
+        let _ = reply.send(Err(refusal));
+    }
+}
+
 /// Removes a waiting call whose future ended.
 struct Waiting<'a> {
     gate: &'a Gate,
--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -1,37 +1,33 @@
 //! State of the gate, changed only by synchronous steps.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use tokio::{sync::oneshot, time::Instant};
 
-use super::{Ask, GateState, Permit, Refusal, Why};
+use super::{Ask, GateState, Permit, Refusal, Why, classes::Classes, isolation::Isolation};
 use crate::state::{
     config::Config,
     id::{ClassName, Fingerprint, UpstreamName},
-    level::LevelMeter,
+    level::{LevelMeter, QueueWindow},
     limit::{End, Limiter},
     object::{Control, Favour},
-    priority::Level,
+    priority::{Level, Priority},
     queue::{Place, Pushed, WaitQueue},
-    suspect::{Standing, SuspectNews, SuspectTable},
+    suspect::SuspectNews,
     upstream::Load,
 };
 
-pub(super) type Reply = oneshot::Sender<Result<Permit, Refusal>>;
+pub(super) type Answer = Result<Permit, Refusal>;
+pub(super) type Reply = oneshot::Sender<Answer>;
+pub(super) type Refused = Vec<(Reply, Refusal)>;
 
 /// Waiting calls per slot; the wait limits empty a longer queue before it is served.
 const QUEUE_PER_SLOT: usize = 4;
 const QUEUE_MIN: usize = 32;
-const RETRY_AFTER_MS: u64 = 500;
-/// Calls lost within this time before a crash is noticed count as in flight during it.
-const LOST_WINDOW: Duration = Duration::from_secs(1);
-const LOST_MAX: usize = 1_024;
 
+/// A call that waits in the queue.
 #[derive(Debug)]
-struct Waiter {
+pub(super) struct Waiter {
     ask: Ask,
     since: Instant,
     reply: Reply,
@@ -41,15 +37,16 @@
 struct Running {
     class: ClassName,
     fingerprint: Fingerprint,
+    since: Instant,
     suspect: bool,
 }
 
 /// Outcome of an arrival.
+#[derive(Debug)]
 pub(super) enum Entered {
     Admitted(u64),
     Refused(Refusal),
-    Waiting(Place, Instant),
-    Evicted(Place, Instant, Reply, Refusal),
+    Waiting(Place, Instant, oneshot::Receiver<Answer>),
 }
 
 #[derive(Debug)]
@@ -62,14 +59,14 @@
     slots: u32,
     limiter: Limiter,
     meter: LevelMeter,
+    window: QueueWindow,
+    pressure: bool,
     queue: WaitQueue<Waiter>,
     isolated: WaitQueue<Waiter>,
     running: BTreeMap<u64, Running>,
     next: u64,
-    classes: BTreeMap<ClassName, u32>,
-    limits: BTreeMap<ClassName, u32>,
-    table: SuspectTable,
-    lost: VecDeque<(Instant, Running)>,
+    classes: Classes,
+    isolation: Isolation,
 }
 
 impl Core {
@@ -90,18 +87,18 @@
             slots,
             limiter: Limiter::new(slots, now),
             meter: LevelMeter::new(),
+            window: QueueWindow::default(),
+            pressure: false,
             queue: WaitQueue::new(bound),
             isolated: WaitQueue::new(bound),
             running: BTreeMap::new(),
             next: 0,
-            classes: BTreeMap::new(),
-            limits: BTreeMap::new(),
-            table: SuspectTable::new(),
-            lost: VecDeque::new(),
+            classes: Classes::default(),
+            isolation: Isolation::default(),
         }
     }
 
-    pub(super) fn apply(&mut self, own: &UpstreamName, config: &Config, now: Instant) {
+    pub(super) fn apply(&mut self, own: &UpstreamName, config: &Config) {
         self.favour = config.deployment.favour;
         self.control = config.deployment.control;
         let Some(upstream) = config.upstream(own) else {
@@ -109,105 +106,81 @@
         };
         if upstream.slots != self.slots {
             self.slots = upstream.slots;
-            self.limiter = Limiter::new(self.slots, now);
+            self.limiter.resize(self.slots);
             self.queue.resize(queue_bound(self.slots));
             self.isolated.resize(queue_bound(self.slots));
         }
-        let piece = config.pieces.get(&upstream.service);
-        let limits = piece.into_iter().flat_map(|p| &p.limits);
-        self.limits = limits.map(|l| (l.class.clone(), l.in_flight)).collect();
+        if let Some(piece) = config.pieces.get(&upstream.service) {
+            self.classes.apply(&piece.limits);
+        }
     }
 
-    pub(super) fn enter(&mut self, ask: Ask, reply: Reply, now: Instant) -> Entered {
-        if self.control == Control::Off {
-            return Entered::Admitted(self.admit(&ask, false));
-        }
-        self.meter.arrived(ask.priority);
+    /// Decides on an arrival; a call that was evicted for it is added to `refused`.
+    pub(super) fn enter(&mut self, ask: Ask, refused: &mut Refused, now: Instant) -> Entered {
+        self.meter.arrived(ask.priority, ask.important);
         if let Some(why) = self.refuses(&ask, now) {
-            return Entered::Refused(self.refusal(why));
-        }
-        let suspect = self.is_suspect(&ask.fingerprint, now);
-        let idle = self.queue.is_empty() && self.isolated.is_empty();
-        if idle && self.has_room() && !(suspect && self.is_isolating()) {
-            return Entered::Admitted(self.admit(&ask, suspect));
-        }
-        self.next += 1;
-        let place = match self.control {
-            Control::Adaptive => Place::new(ask.important, ask.priority, self.next),
-            Control::Fixed | Control::Off => Place::arrival(self.next),
-        };
-        let until = ask.deadline.min(now + self.wait(&ask));
-        let class = ask.class.clone();
-        let waiter = Waiter {
-            ask,
-            since: now,
-            reply,
-        };
-        let queue = if suspect {
-            &mut self.isolated
-        } else {
-            &mut self.queue
-        };
-        let pushed = queue.push(place, waiter);
-        if !matches!(pushed, Pushed::Full(_)) {
-            *self.classes.entry(class).or_default() += 1;
+            return Entered::Refused(self.refusal(why, ask.priority));
         }
-        match pushed {
-            Pushed::Waiting => Entered::Waiting(place, until),
-            Pushed::Full(_) => Entered::Refused(self.refusal(Why::Evicted)),
-            Pushed::Evicted(worst) => {
-                self.release(&worst.ask.class);
-                let refusal = self.refusal(Why::Evicted);
-                Entered::Evicted(place, until, worst.reply, refusal)
-            }
+        let suspect = self.is_suspect(&ask, now);
+        // A suspect that waits for another to end does not hold up other calls.
+        if self.queue.is_empty() && self.has_room() && !(suspect && self.isolation.is_busy(now)) {
+            return Entered::Admitted(self.admit(&ask, suspect, now));
         }
+        self.wait(ask, suspect, refused, now)
     }
 
     /// The next decision on a waiting call, if the limit has room.
     pub(super) fn next(&mut self, now: Instant) -> Option<(Reply, Result<u64, Refusal>)> {
         while self.has_room() && !self.down {
-            let isolated = self.isolated.best().filter(|_| !self.is_isolating());
-            let (place, waiter) = match (self.queue.best(), isolated) {
-                (None, None) => return None,
-                (Some(a), Some(b)) if a < b => self.queue.pop()?,
-                (Some(_), None) => self.queue.pop()?,
-                (_, Some(_)) => self.isolated.pop()?,
+            let Some((place, waiter)) = self.pop(now) else {
+                break;
             };
-            let standing = self.table.standing(&waiter.ask.fingerprint, now);
-            let suspect = standing == Some(Standing::Suspect);
-            if standing == Some(Standing::Convicted) {
-                self.release(&waiter.ask.class);
-                return Some((waiter.reply, Err(self.refusal(Why::Convicted))));
-            }
-            if suspect && self.is_isolating() {
-                if let Pushed::Full(waiter) | Pushed::Evicted(waiter) =
-                    self.isolated.push(place, waiter)
-                {
-                    self.release(&waiter.ask.class);
-                    return Some((waiter.reply, Err(self.refusal(Why::Evicted))));
+            self.note_wait(&waiter, now);
+            let is_suspect = self.is_suspect(&waiter.ask, now);
+            if is_suspect && self.isolation.is_busy(now) {
+                match self.isolated.push(place, waiter) {
+                    Pushed::Waiting => continue,
+                    Pushed::Full(worst) | Pushed::Evicted(worst) => {
+                        return Some(self.refuse(worst, Why::Evicted, now));
+                    }
                 }
-                continue;
             }
-            self.release(&waiter.ask.class);
-            let id = self.admit(&waiter.ask, suspect);
+            let due = now + self.expected(&waiter.ask, now);
+            let why = match &waiter.ask {
+                ask if self.isolation.is_convicted(&ask.fingerprint, now) => Some(Why::Convicted),
+                ask if due > ask.deadline => Some(Why::Deadline),
+                _ => None,
+            };
+            self.note_length();
+            if let Some(why) = why {
+                return Some(self.refuse(waiter, why, now));
+            }
+            self.classes.release(&waiter.ask.class);
+            let id = self.admit(&waiter.ask, is_suspect, now);
             return Some((waiter.reply, Ok(id)));
         }
+        self.note_length();
         None
     }
 
-    pub(super) fn leave(&mut self, place: &Place) {
-        let waiter = self
-            .queue
-            .remove(place)
-            .or_else(|| self.isolated.remove(place));
-        if let Some(waiter) = waiter {
-            self.release(&waiter.ask.class);
-        }
+    /// Removes a waiting call; it is not there when it was decided on.
+    pub(super) fn leave(&mut self, place: &Place) -> Option<Waiter> {
+        let waiter = self.queue.remove(place);
+        let waiter = waiter.or_else(|| self.isolated.remove(place))?;
+        self.classes.release(&waiter.ask.class);
+        self.note_length();
+        Some(waiter)
     }
 
-    pub(super) fn timed_out(&mut self, place: &Place, _now: Instant) -> Refusal {
-        self.leave(place);
-        self.refusal(Why::Waited)
+    /// Ends the wait of a call whose time in the queue is over.
+    pub(super) fn timed_out(&mut self, place: &Place, ask: &Ask, now: Instant) -> Refusal {
+        if let Some(waiter) = self.leave(place) {
+            self.note_wait(&waiter, now);
+        }
+        let is_late = now + self.expected(ask, now) >= ask.deadline;
+        self.window.important_refused |= ask.important;
+        let why = if is_late { Why::Deadline } else { Why::Waited };
+        self.refusal(why, ask.priority)
     }
 
     pub(super) fn end(&mut self, id: u64, own: Duration, end: End, now: Instant) {
@@ -215,31 +188,52 @@
         let Some(running) = self.running.remove(&id) else {
             return;
         };
-        self.release(&running.class);
+        self.classes.release(&running.class);
         self.limiter.record(own, in_flight, end, now);
-        if end == End::Answered {
-            self.meter.completed();
-            self.table.clear(&running.fingerprint, now);
-        }
-        if end == End::Lost {
-            if self.lost.len() == LOST_MAX {
-                self.lost.pop_front();
+        self.isolation.ended(id);
+        let took = now.saturating_duration_since(running.since);
+        match end {
+            End::Answered => {
+                self.meter.completed();
+                self.classes.took(&running.class, took, now);
+                self.isolation.completed(running.fingerprint, now);
             }
-            self.lost.push_back((now, running));
+            End::Cancelled => self.classes.ran_at_least(&running.class, took, now),
+            End::Lost => self
+                .isolation
+                .lost(running.fingerprint, running.suspect, now),
+            End::Shed => {}
         }
     }
 
-    pub(super) fn tick(&mut self, now: Instant) -> Vec<(Reply, Refusal)> {
-        let late = |w: &Waiter| now >= w.ask.deadline.min(w.since + w.ask.span);
-        let gone = self.queue.extract(late);
-        self.refuse_all(gone, Why::Waited)
+    /// Ends a window of 100 ms; gives the waiting calls that are refused.
+    pub(super) fn tick(&mut self, now: Instant) -> Refused {
+        self.window.late |= self.oldest_wait(now) > self.target();
+        if self.control == Control::Adaptive {
+            // Once on, pressure lasts until the queue runs empty, because the shorter wait limit
+            // itself keeps the waits below the target.
+            self.pressure = self.window.least > 0 && (self.pressure || self.window.is_pressure());
+            self.meter.tick(self.window);
+        }
+        self.window = QueueWindow {
+            least: self.queue.len(),
+            most: self.queue.len(),
+            ..QueueWindow::default()
+        };
+        if !self.pressure {
+            return Vec::new();
+        }
+        let target = self.target();
+        let is_late = |w: &Waiter| !w.ask.important && now >= w.since + target;
+        let late = self.queue.extract(is_late);
+        self.refuse_all(late, Why::Waited, now)
     }
 
     pub(super) fn load(&self) -> Load {
         Load {
             in_flight: self.in_flight(),
             limit: self.limit(),
-            queued: (self.queue.len() + self.isolated.len()) as u32,
+            queued: self.queued() as u32,
         }
     }
 
@@ -247,49 +241,34 @@
         self.meter.level()
     }
 
-    pub(super) fn set_state(&mut self, state: GateState, _now: Instant) -> Vec<(Reply, Refusal)> {
+    pub(super) fn set_state(&mut self, state: GateState, now: Instant) -> Refused {
         self.state = state;
         if state != GateState::Waking {
             return Vec::new();
         }
-        let waiting = self.drain();
-        self.refuse_all(waiting, Why::Waking)
+        self.drain(Why::Waking, now)
     }
 
-    pub(super) fn server_lost(
-        &mut self,
-        now: Instant,
-    ) -> (Vec<Fingerprint>, Vec<(Reply, Refusal)>) {
+    pub(super) fn server_lost(&mut self, now: Instant) -> (Vec<Fingerprint>, Refused) {
         self.down = true;
-        let recent = self
-            .lost
-            .drain(..)
-            .filter(|(at, _)| now < *at + LOST_WINDOW);
-        let lost: Vec<_> = recent.map(|(_, r)| (r.fingerprint, r.suspect)).collect();
         let running = self.running.values().map(|r| (r.fingerprint, r.suspect));
-        let lost: Vec<_> = running.chain(lost).collect();
-        for (fingerprint, suspect) in &lost {
-            match suspect {
-                true => self.table.convict(*fingerprint, now),
-                false => self.table.suspect(*fingerprint, now),
-            }
-        }
-        let waiting = self.drain();
-        let refused = self.refuse_all(waiting, Why::Down);
-        (lost.into_iter().map(|(f, _)| f).collect(), refused)
+        let lost = self.isolation.crashed(running, now);
+        let refused = self.drain(Why::Down, now);
+        (lost, refused)
     }
 
     pub(super) fn server_restarted(&mut self, now: Instant) {
         self.down = false;
+        self.isolation.restarted();
         self.limiter.restarted(now);
     }
 
     pub(super) fn suspects(&self, now: Instant) -> SuspectNews {
-        self.table.news(now)
+        self.isolation.news(now)
     }
 
     pub(super) fn learn_suspects(&mut self, news: &SuspectNews, now: Instant) {
-        self.table.learn(news, now);
+        self.isolation.learn(news, now);
     }
 
     fn refuses(&self, ask: &Ask, now: Instant) -> Option<Why> {
@@ -299,83 +278,173 @@
             GateState::Leaving => return Some(Why::Leaving),
             GateState::Serving => {}
         }
-        if self.table.standing(&ask.fingerprint, now) == Some(Standing::Convicted) {
+        if self.control == Control::Off {
+            return None;
+        }
+        if self.isolation.is_convicted(&ask.fingerprint, now) {
             return Some(Why::Convicted);
         }
         if self.down {
             return Some(Why::Down);
         }
-        if now >= ask.deadline {
+        if now + self.expected(ask, now) >= ask.deadline {
             return Some(Why::Deadline);
         }
-        let used = self.classes.get(&ask.class).copied().unwrap_or_default();
-        if self
-            .limits
-            .get(&ask.class)
-            .is_some_and(|most| used >= *most)
-        {
+        if self.classes.is_full(&ask.class) {
             return Some(Why::ClassLimit);
         }
-        let excluded = self.control == Control::Adaptive && !self.level().admits(ask.priority);
-        excluded.then_some(Why::Level)
-    }
-
-    fn refusal(&mut self, why: Why) -> Refusal {
-        let base = Duration::from_millis(RETRY_AFTER_MS);
-        Refusal {
-            why,
-            retry_after: base.mul_f64(0.5 + self.rng.f64()),
-        }
+        // While a call that is not important waits and might still be admitted, an important one
+        // is not refused by the level.
+        let is_excluded = self.control == Control::Adaptive
+            && !self.level().admits(ask.priority)
+            && !(ask.important && self.queue.worst().is_some_and(Place::is_ordinary));
+        is_excluded.then_some(Why::Level)
     }
 
-    fn refuse_all(&mut self, waiting: Vec<Waiter>, why: Why) -> Vec<(Reply, Refusal)> {
-        let refuse = |waiter: Waiter| {
-            self.release(&waiter.ask.class);
-            (waiter.reply, self.refusal(why))
+    fn wait(&mut self, ask: Ask, suspect: bool, refused: &mut Refused, now: Instant) -> Entered {
+        self.next += 1;
+        let place = match self.control {
+            Control::Adaptive => Place::new(ask.important, ask.priority, self.next),
+            Control::Fixed | Control::Off => Place::arrival(self.next),
+        };
+        let latest = ask.deadline - self.expected(&ask, now);
+        let until = latest.min(now + self.longest_wait(&ask));
+        let (important, priority) = (ask.important, ask.priority);
+        let (reply, receiver) = oneshot::channel();
+        self.classes.take(&ask.class);
+        let waiter = Waiter {
+            ask,
+            since: now,
+            reply,
+        };
+        let queue = if suspect {
+            &mut self.isolated
+        } else {
+            &mut self.queue
         };
-        waiting.into_iter().map(refuse).collect()
+        let pushed = queue.push(place, waiter);
+        self.note_length();
+        match pushed {
+            Pushed::Waiting => Entered::Waiting(place, until, receiver),
+            Pushed::Evicted(worst) => {
+                let (reply, refusal) = self.refuse_one(worst, Why::Evicted, now);
+                refused.push((reply, refusal));
+                Entered::Waiting(place, until, receiver)
+            }
+            Pushed::Full(waiter) => {
+                self.classes.release(&waiter.ask.class);
+                self.window.important_refused |= important;
+                self.window.late = true;
+                Entered::Refused(self.refusal(Why::Evicted, priority))
+            }
+        }
     }
 
-    fn drain(&mut self) -> Vec<Waiter> {
-        let mut all = self.queue.extract(|_| true);
-        all.extend(self.isolated.extract(|_| true));
-        all
+    /// Takes the best waiting call; a suspect only when no other suspect runs.
+    fn pop(&mut self, now: Instant) -> Option<(Place, Waiter)> {
+        let isolated = self
+            .isolated
+            .best()
+            .filter(|_| !self.isolation.is_busy(now));
+        match (self.queue.best(), isolated) {
+            (Some(ordinary), Some(suspect)) if ordinary < suspect => self.queue.pop(),
+            (_, Some(_)) => self.isolated.pop(),
+            (Some(_), None) => self.queue.pop(),
+            (None, None) => None,
+        }
     }
 
-    fn admit(&mut self, ask: &Ask, suspect: bool) -> u64 {
+    fn admit(&mut self, ask: &Ask, suspect: bool, now: Instant) -> u64 {
         self.next += 1;
-        *self.classes.entry(ask.class.clone()).or_default() += 1;
+        self.classes.take(&ask.class);
         let running = Running {
             class: ask.class.clone(),
             fingerprint: ask.fingerprint,
+            since: now,
             suspect,
         };
         self.running.insert(self.next, running);
+        if suspect {
+            self.isolation.started(self.next);
+        }
         self.next
     }
 
-    fn release(&mut self, class: &ClassName) {
-        if let Some(used) = self.classes.get_mut(class) {
-            *used -= 1;
-            if *used == 0 {
-                self.classes.remove(class);
-            }
+    fn refusal(&mut self, why: Why, priority: Priority) -> Refusal {
+        let base = self.meter.retry_after(priority);
+        Refusal {
+            why,
+            retry_after: base.mul_f64(0.5 + self.rng.f64()),
+        }
+    }
+
+    fn refuse_one(&mut self, waiter: Waiter, why: Why, now: Instant) -> (Reply, Refusal) {
+        self.note_wait(&waiter, now);
+        self.classes.release(&waiter.ask.class);
+        let is_overload = matches!(why, Why::Evicted | Why::Waited | Why::Deadline);
+        self.window.important_refused |= is_overload && waiter.ask.important;
+        (waiter.reply, self.refusal(why, waiter.ask.priority))
+    }
+
+    fn refuse(&mut self, waiter: Waiter, why: Why, now: Instant) -> (Reply, Result<u64, Refusal>) {
+        let (reply, refusal) = self.refuse_one(waiter, why, now);
+        (reply, Err(refusal))
+    }
+
+    fn refuse_all(&mut self, waiting: Vec<Waiter>, why: Why, now: Instant) -> Refused {
+        let refused = waiting.into_iter().map(|w| self.refuse_one(w, why, now));
+        refused.collect()
+    }
+
+    fn drain(&mut self, why: Why, now: Instant) -> Refused {
+        let mut waiting = self.queue.extract(|_| true);
+        waiting.extend(self.isolated.extract(|_| true));
+        self.refuse_all(waiting, why, now)
+    }
+
+    fn expected(&self, ask: &Ask, now: Instant) -> Duration {
+        match self.control {
+            Control::Adaptive => self.classes.expected(&ask.class, now),
+            Control::Fixed | Control::Off => Duration::ZERO,
         }
     }
 
-    fn wait(&self, ask: &Ask) -> Duration {
-        match self.favour {
+    fn target(&self) -> Duration {
+        Duration::from_millis(match self.favour {
+            Favour::Goodput => 20,
+            Favour::Recovery => 5,
+        })
+    }
+
+    fn longest_wait(&self, ask: &Ask) -> Duration {
+        let whole = match self.favour {
             Favour::Goodput => ask.span / 2,
             Favour::Recovery => ask.span / 5,
+        };
+        if self.pressure && !ask.important {
+            return whole.min(self.target());
         }
+        whole
     }
 
-    fn is_suspect(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
-        self.table.standing(fingerprint, now) == Some(Standing::Suspect)
+    /// Age of the call that has waited longest.
+    fn oldest_wait(&self, now: Instant) -> Duration {
+        let oldest = self.queue.iter().map(|w| w.since).min();
+        oldest.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
-    fn is_isolating(&self) -> bool {
-        self.running.values().any(|r| r.suspect)
+    fn note_wait(&mut self, waiter: &Waiter, now: Instant) {
+        let waited = now.saturating_duration_since(waiter.since);
+        self.window.late |= waited >= self.target();
+    }
+
+    fn note_length(&mut self) {
+        self.window.least = self.window.least.min(self.queue.len());
+        self.window.most = self.window.most.max(self.queue.len());
+    }
+
+    fn is_suspect(&self, ask: &Ask, now: Instant) -> bool {
+        self.control != Control::Off && self.isolation.is_suspect(&ask.fingerprint, now)
     }
 
     fn has_room(&self) -> bool {
@@ -386,6 +455,10 @@
         self.running.len() as u32
     }
 
+    fn queued(&self) -> usize {
+        self.queue.len() + self.isolated.len()
+    }
+
     fn limit(&self) -> u32 {
         match self.control {
             Control::Adaptive => self.limiter.limit(),
--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -4,81 +4,57 @@
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
-    time::Duration,
 };
 
 use tokio::time::Instant;
 
+pub use crate::state::upstream::{Attempt, ListState, Listed};
 use crate::state::{
     budget::RetryBudget,
     config::Config,
     id::{ServiceName, UpstreamName, ZoneName},
-    level::Levels,
+    level::{KnownLevel, Levels},
     object::{Control, Upstream},
     priority::{Level, Priority},
-    upstream::Load,
+    upstream::{Load, UpstreamTable},
 };
 
-/// How an attempt at an upstream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Attempt {
-    /// With an answer.
-    Answered,
-    /// Refused with proof that it did not run.
-    NotRun,
-    /// The connection was lost after the request was sent.
-    Lost,
-    /// The time for the attempt ran out.
-    TimedOut,
-    /// No connection could be opened; nothing was sent.
-    Unreachable,
-    /// Cancelled by the caller or the deadline.
-    Cancelled,
-}
-
-/// State of an upstream in the instance list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ListState {
-    /// In service.
-    Live,
-    /// About to stop.
-    Leaving,
-}
-
-/// One entry of the instance list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Listed {
-    /// Name of the upstream.
-    pub name: UpstreamName,
-    /// Its state.
-    pub state: ListState,
-}
-
-/// Time after which a level without news opens.
-const LEVEL_TTL: Duration = Duration::from_millis(500);
-
 #[derive(Debug)]
-struct Entry {
-    upstream: Rc<Upstream>,
-    in_flight: u32,
-    leaving: bool,
+struct Service {
+    table: UpstreamTable,
+    level: Option<KnownLevel>,
+    budget: Rc<RefCell<RetryBudget>>,
 }
 
-#[derive(Debug, Default)]
-struct Table {
-    entries: BTreeMap<UpstreamName, Entry>,
-    budget: Rc<RefCell<RetryBudget>>,
+impl Service {
+    /// The level known, by the more permissive of the two sources.
+    fn level(&self, now: Instant) -> Option<Level> {
+        let reported = self.table.level(now);
+        reported.max(self.level.map(|known| known.level(now)))
+    }
 }
 
+#[derive(Debug)]
 struct Inner {
     own: UpstreamName,
+    zone: ZoneName,
+    control: Control,
     rng: fastrand::Rng,
-    tables: BTreeMap<ServiceName, Table>,
-    levels: BTreeMap<ServiceName, (Level, Instant)>,
+    services: BTreeMap<ServiceName, Service>,
+    index: BTreeMap<UpstreamName, ServiceName>,
+}
+
+impl Inner {
+    fn service_of(&mut self, upstream: &UpstreamName) -> Option<&mut Service> {
+        self.services.get_mut(self.index.get(upstream)?)
+    }
 }
 
 /// Chooses upstreams from this node's own measurements. A clone shares the state.
-#[derive(Clone)]
+///
+/// Services and upstreams that are not in the configuration are ignored, so reports from outside
+/// can't make the tables grow.
+#[derive(Debug, Clone)]
 pub struct Router {
     inner: Rc<RefCell<Inner>>,
 }
@@ -86,12 +62,13 @@
 impl Router {
     /// A router without upstreams, for the node of `own` in `zone`.
     pub fn new(own: UpstreamName, zone: ZoneName, control: Control, rng: fastrand::Rng) -> Self {
-        let _ = (zone, control);
         let inner = Inner {
             own,
+            zone,
+            control,
             rng,
-            tables: BTreeMap::new(),
-            levels: BTreeMap::new(),
+            services: BTreeMap::new(),
+            index: BTreeMap::new(),
         };
         Self {
             inner: Rc::new(RefCell::new(inner)),
@@ -100,41 +77,43 @@
 
     /// Takes over the upstreams of a configuration; measurements of known upstreams are kept.
     pub fn apply(&self, config: &Config) {
+        let now = Instant::now();
         let inner = &mut *self.inner.borrow_mut();
-        inner.tables.retain(|s, _| config.pieces.contains_key(s));
-        for (service, piece) in &config.pieces {
-            let table = inner.tables.entry(service.clone()).or_default();
-            let named = |n: &UpstreamName| piece.upstreams.iter().any(|u| u.name == *n);
-            table.entries.retain(|n, _| named(n));
-            for upstream in piece.upstreams.iter().filter(|u| u.name != inner.own) {
-                let entry = table.entries.entry(upstream.name.clone());
-                let entry = entry.or_insert_with(|| Entry {
-                    upstream: Rc::new(upstream.clone()),
-                    in_flight: 0,
-                    leaving: false,
+        inner.control = config.deployment.control;
+        inner.services.retain(|s, _| config.pieces.contains_key(s));
+        inner.index.clear();
+        for (name, piece) in &config.pieces {
+            let service = inner
+                .services
+                .entry(name.clone())
+                .or_insert_with(|| Service {
+                    table: UpstreamTable::new(inner.own.clone(), inner.zone.clone()),
+                    level: None,
+                    budget: Rc::default(),
                 });
-                entry.upstream = Rc::new(upstream.clone());
-            }
+            service.table.apply(&piece.upstreams, now);
+            let upstreams = piece.upstreams.iter();
+            inner
+                .index
+                .extend(upstreams.map(|u| (u.name.clone(), name.clone())));
         }
     }
 
-    /// Chooses an upstream of `service` that was not tried; the node's own upstream is never chosen.
+    /// Chooses an upstream of `service` that was not tried; the node's own is never chosen.
     pub fn pick(
         &self,
         service: &ServiceName,
         priority: Priority,
         tried: &BTreeSet<UpstreamName>,
     ) -> Option<Pick> {
-        let _ = priority;
+        let started = Instant::now();
         let inner = &mut *self.inner.borrow_mut();
-        let table = inner.tables.get_mut(service)?;
-        let usable = table.entries.iter_mut();
-        let usable = usable.filter(|(n, e)| !e.leaving && !tried.contains(*n));
-        let (_, entry) = usable.min_by_key(|(_, e)| (e.in_flight, inner.rng.u32(..)))?;
-        entry.in_flight += 1;
+        let table = &mut inner.services.get_mut(service)?.table;
+        let upstream = table.pick(priority, tried, &mut inner.rng, started)?;
         Some(Pick {
             router: self.clone(),
-            upstream: entry.upstream.clone(),
+            upstream,
+            started,
             ended: false,
         })
     }
@@ -142,21 +121,28 @@
     /// The first of these services whose known level excludes the priority.
     pub fn refusing(&self, services: &[ServiceName], priority: Priority) -> Option<ServiceName> {
         let inner = self.inner.borrow();
+        if inner.control != Control::Adaptive {
+            return None;
+        }
         let now = Instant::now();
-        let refuses = |s: &&ServiceName| {
-            let known = inner.levels.get(*s);
-            known.is_some_and(|(l, at)| now < *at + LEVEL_TTL && !l.admits(priority))
+        let refuses = |name: &&ServiceName| {
+            let level = inner.services.get(*name).and_then(|s| s.level(now));
+            level.is_some_and(|level| !level.admits(priority))
         };
         services.iter().find(refuses).cloned()
     }
 
     /// Takes over levels carried on an answer or a heartbeat.
     pub fn learn_levels(&self, levels: &Levels) {
-        let inner = &mut *self.inner.borrow_mut();
         let now = Instant::now();
-        for (service, level) in &levels.0 {
-            if inner.tables.contains_key(service) {
-                inner.levels.insert(service.clone(), (*level, now));
+        let inner = &mut *self.inner.borrow_mut();
+        for (name, level) in &levels.0 {
+            let Some(service) = inner.services.get_mut(name) else {
+                continue;
+            };
+            match &mut service.level {
+                Some(known) => known.learn(*level, now),
+                None => service.level = Some(KnownLevel::new(*level, now)),
             }
         }
     }
@@ -165,74 +151,78 @@
     pub fn levels(&self, services: &[ServiceName]) -> Levels {
         let inner = self.inner.borrow();
         let now = Instant::now();
-        let known = services.iter().filter_map(|s| {
-            let (level, at) = inner.levels.get(s)?;
-            (now < *at + LEVEL_TTL).then(|| (s.clone(), *level))
+        let known = services.iter().filter_map(|name| {
+            let level = inner.services.get(name)?.level(now)?;
+            Some((name.clone(), level))
         });
         Levels(known.collect())
     }
 
     /// Takes over the load and level that an upstream reported.
     pub fn learn_load(&self, upstream: &UpstreamName, load: Load, level: Level) {
-        let _ = (upstream, load, level);
+        let inner = &mut *self.inner.borrow_mut();
+        if let Some(service) = inner.service_of(upstream) {
+            service
+                .table
+                .learn_load(upstream, load, level, Instant::now());
+        }
     }
 
     /// Notes that an upstream said it is leaving, or that it is back.
     pub fn learn_leaving(&self, upstream: &UpstreamName, leaving: bool) {
         let inner = &mut *self.inner.borrow_mut();
-        for table in inner.tables.values_mut() {
-            if let Some(entry) = table.entries.get_mut(upstream) {
-                entry.leaving = leaving;
-            }
+        if let Some(service) = inner.service_of(upstream) {
+            service
+                .table
+                .learn_leaving(upstream, leaving, Instant::now());
         }
     }
 
     /// Takes over what the instance list says about a service.
     pub fn learn_list(&self, service: &ServiceName, listed: &[Listed]) {
         let inner = &mut *self.inner.borrow_mut();
-        let Some(table) = inner.tables.get_mut(service) else {
-            return;
-        };
-        for Listed { name, state } in listed {
-            if let Some(entry) = table.entries.get_mut(name) {
-                entry.leaving = *state == ListState::Leaving;
-            }
+        if let Some(service) = inner.services.get_mut(service) {
+            service.table.learn_list(listed, Instant::now());
         }
     }
 
     /// Drops reported loads, levels and the instance list, after the process was paused.
     pub fn forget(&self) {
-        let inner = &mut *self.inner.borrow_mut();
-        inner.levels.clear();
-        let tables = inner.tables.values_mut();
-        tables
-            .flat_map(|t| t.entries.values_mut())
-            .for_each(|e| e.leaving = false);
+        let now = Instant::now();
+        for service in self.inner.borrow_mut().services.values_mut() {
+            service.level = None;
+            service.table.forget(now);
+        }
     }
 
     /// The retry budget of a service; `None` for a service that is not configured.
     pub fn budget(&self, service: &ServiceName) -> Option<Rc<RefCell<RetryBudget>>> {
-        self.inner
-            .borrow()
-            .tables
-            .get(service)
-            .map(|t| t.budget.clone())
+        let inner = self.inner.borrow();
+        inner.services.get(service).map(|s| s.budget.clone())
+    }
+
+    /// Entries looked at by all choices so far.
+    pub fn examined(&self) -> u64 {
+        let inner = self.inner.borrow();
+        inner.services.values().map(|s| s.table.examined()).sum()
     }
 
-    fn ended(&self, upstream: &Upstream, attempt: Attempt) {
-        let _ = attempt;
+    fn ended(&self, upstream: &Upstream, attempt: Attempt, started: Instant) {
+        let now = Instant::now();
         let inner = &mut *self.inner.borrow_mut();
-        let table = inner.tables.get_mut(&upstream.service);
-        if let Some(entry) = table.and_then(|t| t.entries.get_mut(&upstream.name)) {
-            entry.in_flight = entry.in_flight.saturating_sub(1);
+        if let Some(service) = inner.services.get_mut(&upstream.service) {
+            let took = now.saturating_duration_since(started);
+            service.table.ended(&upstream.name, attempt, took, now);
         }
     }
 }
 
 /// A chosen upstream. Dropping it counts as a cancelled attempt.
+#[derive(Debug)]
 pub struct Pick {
     router: Router,
     upstream: Rc<Upstream>,
+    started: Instant,
     ended: bool,
 }
 
@@ -245,14 +235,15 @@
     /// Records how the attempt ended.
     pub fn finish(mut self, attempt: Attempt) {
         self.ended = true;
-        self.router.ended(&self.upstream, attempt);
+        self.router.ended(&self.upstream, attempt, self.started);
     }
 }
 
 impl Drop for Pick {
     fn drop(&mut self) {
         if !self.ended {
-            self.router.ended(&self.upstream, Attempt::Cancelled);
+            self.router
+                .ended(&self.upstream, Attempt::Cancelled, self.started);
         }
     }
 }
--- a/src/state/level.rs
+++ b/src/state/level.rs
@@ -2,11 +2,13 @@
 
 use std::{collections::BTreeMap, fmt, str::FromStr};
 
-use super::{
-    Error, Result,
-    id::ServiceName,
-    priority::{Level, Priority},
-};
+use super::{Error, Result, id::ServiceName, priority::Level};
+
+mod known;
+mod meter;
+
+pub use known::{KnownLevel, aged};
+pub use meter::{LevelMeter, QueueWindow};
 
 /// Levels by service, written as `service=level` joined by `;`.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -51,32 +53,3 @@
         Ok(Self(levels))
     }
 }
-
-/// Computes the level of one gate from its arrivals and completions.
-#[derive(Debug, Default)]
-pub struct LevelMeter {
-    arrivals: u32,
-    completions: u32,
-}
-
-impl LevelMeter {
-    /// A meter with an open level.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Counts an arrival.
-    pub fn arrived(&mut self, _priority: Priority) {
-        self.arrivals += 1;
-    }
-
-    /// Counts a completed request.
-    pub fn completed(&mut self) {
-        self.completions += 1;
-    }
-
-    /// The current level.
-    pub fn level(&self) -> Level {
-        Level::OPEN
-    }
-}
--- /dev/null
+++ b/src/state/level/meter.rs
@@ -0,0 +1,166 @@
+//! The admission level of one gate.
+
+use std::time::Duration;
+
+use super::super::priority::{Level, Priority};
+
+/// Importances told apart; all higher ones share the last.
+const IMPORTANCES: usize = 16;
+/// Bits of a priority that one bin covers: 128 bins per importance.
+const BIN_BITS: u32 = 17;
+const BINS: usize = IMPORTANCES << (24 - BIN_BITS);
+/// Weight that the past keeps from window to window.
+const DECAY: f32 = 0.6;
+/// Admitted share of the completion rate; above 1 so that the queue does not run empty.
+const SHARE_START: f32 = 1.1;
+const SHARE_MIN: f32 = 1.0;
+const SHARE_MAX: f32 = 2.0;
+/// Step by which a level opens when fewer requests arrive than it admits: half an importance.
+const OPEN_STEP: u32 = 1 << 23;
+const RETRY_MIN_MS: u64 = 500;
+const RETRY_DOUBLINGS: u32 = 4;
+const TICK_MS: u64 = 100;
+/// Windows for which the level may cut into important classes after the queue refused some.
+const IMPORTANT_WINDOWS: u32 = 10;
+
+/// What the queue of the gate did in one window.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QueueWindow {
+    /// Least number of waiting requests.
+    pub least: usize,
+    /// Largest number of waiting requests.
+    pub most: usize,
+    /// Whether a request waited longer than the target.
+    pub late: bool,
+    /// Whether an important request was evicted or waited in vain.
+    pub important_refused: bool,
+}
+
+impl QueueWindow {
+    /// Whether the queue held requests for the whole window and they waited too long.
+    pub fn is_pressure(&self) -> bool {
+        self.least > 0 && self.late
+    }
+}
+
+/// Computes the level of one gate from its arrivals and completions, once per window of 100 ms.
+#[derive(Debug)]
+pub struct LevelMeter {
+    arrivals: Box<[f32]>,
+    completions: f32,
+    important: Option<u8>,
+    cutting: u32,
+    share: f32,
+    level: Level,
+    refusing: [u32; IMPORTANCES],
+}
+
+impl Default for LevelMeter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl LevelMeter {
+    /// A meter with an open level.
+    pub fn new() -> Self {
+        Self {
+            arrivals: vec![0.0; BINS].into(),
+            completions: 0.0,
+            important: None,
+            cutting: 0,
+            share: SHARE_START,
+            level: Level::OPEN,
+            refusing: [0; IMPORTANCES],
+        }
+    }
+
+    /// Counts an arrival, admitted or not.
+    pub fn arrived(&mut self, priority: Priority, important: bool) {
+        self.arrivals[bin(priority)] += 1.0;
+        if important {
+            self.important = self.important.max(Some(priority.importance()));
+        }
+    }
+
+    /// Counts a completed request.
+    pub fn completed(&mut self) {
+        self.completions += 1.0;
+    }
+
+    /// The current level.
+    pub fn level(&self) -> Level {
+        self.level
+    }
+
+    /// Ends a window and computes the level for the next.
+    pub fn tick(&mut self, window: QueueWindow) {
+        self.cutting = match window.important_refused {
+            true => IMPORTANT_WINDOWS,
+            false => self.cutting.saturating_sub(1),
+        };
+        if window.most == 0 {
+            self.level = Level::OPEN;
+            self.share = SHARE_START;
+        } else if self.level != Level::OPEN || window.is_pressure() {
+            self.adjust_share(window);
+            self.level = self.threshold();
+        }
+        self.arrivals.iter_mut().for_each(|bin| *bin *= DECAY);
+        self.completions *= DECAY;
+        for (importance, ticks) in self.refusing.iter_mut().enumerate() {
+            let admits = self.level.0 >= top(importance as u8);
+            *ticks = if admits { 0 } else { ticks.saturating_add(1) };
+        }
+    }
+
+    /// The base of `Retry-After`: 0.5 s, doubled while the level stays below the class, up to 8 s.
+    pub fn retry_after(&self, priority: Priority) -> Duration {
+        let importance = usize::from(priority.importance()).min(IMPORTANCES - 1);
+        let refused_ms = u64::from(self.refusing[importance]) * TICK_MS;
+        let doublings = (refused_ms / RETRY_MIN_MS + 1).ilog2().min(RETRY_DOUBLINGS);
+        Duration::from_millis(RETRY_MIN_MS << doublings)
+    }
+
+    fn adjust_share(&mut self, window: QueueWindow) {
+        let factor = match window {
+            _ if window.least == 0 => 1.1,
+            _ if window.late => 0.95,
+            _ => 1.0,
+        };
+        self.share = (self.share * factor).clamp(SHARE_MIN, SHARE_MAX);
+    }
+
+    fn threshold(&self) -> Level {
+        let wanted = self.completions * self.share + 1.0;
+        let mut sum = 0.0;
+        let above = self.arrivals.iter().position(|arrivals| {
+            sum += arrivals;
+            sum > wanted
+        });
+        let level = match above {
+            Some(bin) => Level(((bin.max(1) as u32) << BIN_BITS) - 1),
+            None => Level(self.level.0.saturating_add(OPEN_STEP)),
+        };
+        // The level cuts into important classes only after the queue had to refuse some of them,
+        // because completions lag behind when calls take longer than a window.
+        match self.important {
+            Some(importance) if self.cutting == 0 => level.max(Level(top(importance))),
+            _ => level,
+        }
+    }
+}
+
+fn top(importance: u8) -> u32 {
+    match usize::from(importance) {
+        n if n < IMPORTANCES - 1 => ((n as u32 + 1) << 24) - 1,
+        _ => u32::MAX,
+    }
+}
+
+fn bin(priority: Priority) -> usize {
+    ((priority.value() >> BIN_BITS) as usize).min(BINS - 1)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/state/level/meter/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the module above.
--- /dev/null
+++ b/src/state/limit/tests.rs
@@ -0,0 +1,191 @@
+//! Guards against a limit that starves a server, floods it, or stays behind a change.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use super::*;
+
+const SLOTS: u32 = 100;
+const OWN: f64 = 0.050;
+
+/// A server under unlimited demand: always as many calls in flight as the limit allows.
+struct Server {
+    limiter: Limiter,
+    start: Instant,
+    now: f64,
+    calls: BinaryHeap<Reverse<(u64, u64)>>,
+    rng: fastrand::Rng,
+}
+
+impl Server {
+    fn new(seed: u64) -> Self {
+        let start = Instant::now();
+        Self {
+            limiter: Limiter::new(SLOTS, start),
+            start,
+            now: 0.0,
+            calls: BinaryHeap::new(),
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Runs for `seconds` with the own time that `own(calls in flight)` gives, varied by half;
+    /// gives the number of answers.
+    fn run(&mut self, seconds: f64, own: impl Fn(f64, f64) -> f64) -> usize {
+        let until = self.now + seconds;
+        let mut answers = 0;
+        while self.now < until {
+            while (self.calls.len() as u32) < self.limiter.limit() {
+                let own = own(self.now, self.calls.len() as f64 + 1.0) * (0.5 + self.rng.f64());
+                let nanos = |s: f64| (s * 1e9) as u64;
+                self.calls
+                    .push(Reverse((nanos(self.now + own), nanos(own))));
+            }
+            let Some(Reverse((end, own))) = self.calls.pop() else {
+                unreachable!("the limit is at least 1");
+            };
+            self.now = end as f64 / 1e9;
+            let now = self.start + Duration::from_nanos(end);
+            let in_flight = self.calls.len() as u32 + 1;
+            self.limiter
+                .record(Duration::from_nanos(own), in_flight, End::Answered, now);
+            answers += 1;
+        }
+        answers
+    }
+}
+
+/// Own time when `capacity` calls run at full speed and more share it.
+fn shared(capacity: f64) -> impl Fn(f64, f64) -> f64 {
+    move |_, calls| OWN * (calls / capacity).max(1.0)
+}
+
+/// Guards against a cold server that gets its full load at once, or never.
+#[test]
+fn cold_limit_starts_low_and_reaches_the_slots() {
+    for seed in 0..200 {
+        let mut server = Server::new(seed);
+        assert_eq!(server.limiter.limit(), SLOTS / 10);
+        server.run(1.0, shared(100.0));
+        assert_eq!(server.limiter.limit(), SLOTS, "seed {seed}");
+    }
+}
+
+/// Guards against flooding a server whose capacity grows from 10% to 100% over 5 s.
+#[test]
+fn cold_server_is_not_flooded() {
+    for seed in 0..200 {
+        let mut server = Server::new(seed);
+        let capacity = |now: f64| 10.0 + 90.0 * (now / 5.0).min(1.0);
+        for _ in 0..50 {
+            server.run(0.1, |now, calls| OWN * (calls / capacity(now)).max(1.0));
+            let limit = f64::from(server.limiter.limit());
+            assert!(
+                limit <= 3.0 * capacity(server.now),
+                "seed {seed}: {limit} at {}",
+                server.now
+            );
+        }
+        server.run(2.0, |now, calls| OWN * (calls / capacity(now)).max(1.0));
+        assert!(
+            server.limiter.limit() >= 95,
+            "seed {seed}: {}",
+            server.limiter.limit()
+        );
+    }
+}
+
+/// Guards against a limit that stays high when capacity falls to a fifth, or low afterwards.
+#[test]
+fn limit_follows_a_server_with_a_fifth_of_its_capacity() {
+    for seed in 0..200 {
+        let mut server = Server::new(seed);
+        server.run(3.0, shared(100.0));
+        server.run(3.0, shared(20.0));
+        assert!(
+            server.limiter.limit() <= 50,
+            "seed {seed}: {}",
+            server.limiter.limit()
+        );
+        let answers = server.run(10.0, shared(20.0));
+        assert!(
+            server.limiter.limit() <= 50,
+            "seed {seed}: {}",
+            server.limiter.limit()
+        );
+        assert!(
+            answers as f64 >= 0.9 * 10.0 * 20.0 / OWN,
+            "seed {seed}: {answers}"
+        );
+        server.run(1.0, shared(100.0));
+        assert!(
+            server.limiter.limit() >= 95,
+            "seed {seed}: {}",
+            server.limiter.limit()
+        );
+    }
+}
+
+/// Guards against giving up slots when each call takes five times as long at any concurrency.
+#[test]
+fn limit_keeps_the_slots_of_a_server_that_is_slow_at_any_concurrency() {
+    for seed in 0..200 {
+        let mut server = Server::new(seed);
+        server.run(3.0, shared(100.0));
+        let answers = server.run(20.0, |_, _| 5.0 * OWN);
+        let ideal = 20.0 * f64::from(SLOTS) / (5.0 * OWN);
+        assert!(
+            answers as f64 >= 0.9 * ideal,
+            "seed {seed}: {answers} of {ideal}"
+        );
+        server.run(1.0, shared(100.0));
+        assert!(
+            server.limiter.limit() >= 95,
+            "seed {seed}: {}",
+            server.limiter.limit()
+        );
+    }
+}
+
+/// Guards against a limit that ignores the server's own load shedding.
+#[test]
+fn limit_falls_when_the_server_sheds_and_returns_later() {
+    let mut server = Server::new(1);
+    server.run(3.0, shared(100.0));
+    let now = server.start + Duration::from_secs_f64(server.now);
+    let shed = |limiter: &mut Limiter| {
+        for _ in 0..1_000 {
+            let limit = limiter.limit();
+            if limit > 50 {
+                limiter.record(Duration::from_millis(1), limit, End::Shed, now);
+            }
+        }
+    };
+    shed(&mut server.limiter);
+    assert!(
+        (30..=50).contains(&server.limiter.limit()),
+        "{}",
+        server.limiter.limit()
+    );
+    server.run(10.0, shared(100.0));
+    assert_eq!(server.limiter.limit(), SLOTS);
+}
+
+/// Guards against a limit learned from a process that no longer exists.
+#[test]
+fn restart_makes_the_limit_cold() {
+    let mut server = Server::new(1);
+    server.run(1.0, shared(100.0));
+    server.limiter.restarted(server.start);
+    assert_eq!(server.limiter.limit(), SLOTS / 10);
+}
+
+/// Guards against a limit of zero on the smallest server.
+#[test]
+fn one_slot_stays_usable() {
+    let mut limiter = Limiter::new(1, Instant::now());
+    for n in 0..1_000 {
+        let end = if n % 3 == 0 { End::Shed } else { End::Answered };
+        limiter.record(Duration::from_millis(n), 1, end, Instant::now());
+        assert_eq!(limiter.limit(), 1);
+    }
+}
--- a/src/state/queue.rs
+++ b/src/state/queue.rs
@@ -22,6 +22,11 @@
         }
     }
 
+    /// Whether the request's class is not important.
+    pub fn is_ordinary(self) -> bool {
+        self.ordinary
+    }
+
     /// The place of a request in a first-in first-out queue.
     pub fn arrival(sequence: u64) -> Self {
         Self {
@@ -96,6 +101,11 @@
         self.entries.first_key_value().map(|(place, _)| *place)
     }
 
+    /// The worst place that is taken.
+    pub fn worst(&self) -> Option<Place> {
+        self.entries.last_key_value().map(|(place, _)| *place)
+    }
+
     /// Removes the best request.
     pub fn pop(&mut self) -> Option<(Place, T)> {
         self.entries.pop_first()
@@ -112,6 +122,11 @@
         taken.map(|(_, entry)| entry).collect()
     }
 
+    /// All waiting requests, the best first.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.entries.values()
+    }
+
     /// Number of waiting requests.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/state/upstream.rs
+++ b/src/state/upstream.rs
@@ -2,7 +2,49 @@
 
 use std::{fmt, str::FromStr};
 
-use super::{Error, Result};
+use super::{Error, Result, id::UpstreamName};
+
+mod entry;
+mod subset;
+mod table;
+
+pub use subset::SUBSET_ABOVE;
+pub use table::UpstreamTable;
+
+/// How an attempt at an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Attempt {
+    /// With an answer.
+    Answered,
+    /// Refused with proof that it did not run.
+    NotRun,
+    /// The connection was lost after the request was sent.
+    Lost,
+    /// The time for the attempt ran out.
+    TimedOut,
+    /// No connection could be opened; nothing was sent.
+    Unreachable,
+    /// Cancelled by the caller or the deadline.
+    Cancelled,
+}
+
+/// State of an upstream in the instance list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListState {
+    /// In service.
+    Live,
+    /// About to stop.
+    Leaving,
+}
+
+/// One entry of the instance list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// Its state.
+    pub state: ListState,
+}
 
 /// Load of one upstream, written as `in_flight/limit/queued`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- /dev/null
+++ b/src/state/upstream/entry.rs
@@ -0,0 +1,221 @@
+//! What this node knows about one upstream.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::{
+    super::{
+        level::aged,
+        object::Upstream,
+        priority::{Level, Priority},
+    },
+    Attempt, Load,
+};
+
+/// Weight of a new sample in the smoothed latency and success share.
+const WEIGHT: f64 = 0.1;
+/// Lowest weight, as a share of the slots, so that a recovery is noticed.
+const WEIGHT_MIN: f64 = 0.1;
+/// Time over which a new or returned upstream reaches its full weight.
+const RAMP: Duration = Duration::from_secs(5);
+/// Consecutive failures that eject an upstream.
+const FAILURES_MAX: u32 = 5;
+/// Consecutive failures that confirm an absence from the instance list.
+const FAILURES_ABSENT: u32 = 2;
+const EJECTION_MIN: Duration = Duration::from_secs(1);
+const EJECTION_MAX: Duration = Duration::from_secs(30);
+/// Age from which a load report is ignored: one heartbeat lost.
+const REPORT_TTL: Duration = Duration::from_millis(2_500);
+/// Waiting calls per slot that a report can claim.
+const QUEUED_MAX: f64 = 4.0;
+/// Time after which a statement of leaving ends unless it is repeated.
+const LEAVING_TTL: Duration = Duration::from_secs(60);
+
+/// What the instance list last said about an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Listing {
+    #[default]
+    Unknown,
+    Live,
+    Leaving,
+    Absent,
+}
+
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) upstream: Rc<Upstream>,
+    pub(super) listing: Listing,
+    pub(super) is_removed: bool,
+    in_flight: u32,
+    latency: Option<f64>,
+    success: f64,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+    ramp_from: Option<Instant>,
+    said_leaving: Option<Instant>,
+    report: Option<(Load, Level, Instant)>,
+}
+
+impl Entry {
+    pub(super) fn new(upstream: Rc<Upstream>, ramp_from: Option<Instant>) -> Self {
+        Self {
+            upstream,
+            listing: Listing::Unknown,
+            is_removed: false,
+            in_flight: 0,
+            latency: None,
+            success: 1.0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+            ramp_from,
+            said_leaving: None,
+            report: None,
+        }
+    }
+
+    pub(super) fn started(&mut self) {
+        self.in_flight += 1;
+    }
+
+    pub(super) fn ended(&mut self, attempt: Attempt, took: Duration, now: Instant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let took = took.as_secs_f64();
+        match attempt {
+            Attempt::Answered => {
+                self.learn_latency(took);
+                self.learn_success(1.0);
+                self.failures = 0;
+                self.ejected_until = self.ejected_until.filter(|until| now < *until);
+                self.ejections = self.ejections.saturating_sub(1);
+            }
+            // A refusal proves that the upstream is reachable.
+            Attempt::NotRun => {
+                self.learn_success(0.0);
+                self.failures = 0;
+            }
+            Attempt::Cancelled if self.latency.is_some_and(|known| took > known) => {
+                self.learn_latency(took);
+            }
+            Attempt::Cancelled => {}
+            Attempt::Lost | Attempt::Unreachable => self.failed(now),
+            Attempt::TimedOut => {
+                self.learn_latency(took);
+                self.failed(now);
+            }
+        }
+    }
+
+    pub(super) fn learn_load(&mut self, load: Load, level: Level, now: Instant) {
+        self.report = Some((load, level, now));
+    }
+
+    pub(super) fn learn_leaving(&mut self, leaving: bool, now: Instant) {
+        self.said_leaving = leaving.then_some(now);
+    }
+
+    /// Drops all that was reported, after this process was paused.
+    pub(super) fn forget(&mut self) {
+        self.report = None;
+        self.said_leaving = None;
+        self.listing = Listing::Unknown;
+    }
+
+    /// Whether the upstream itself or the instance list says that it is leaving.
+    pub(super) fn is_leaving(&self, now: Instant) -> bool {
+        let said = self.said_leaving.is_some_and(|at| now < at + LEAVING_TTL);
+        said || self.listing == Listing::Leaving
+    }
+
+    /// Whether it is absent from the instance list and connections to it fail.
+    pub(super) fn is_absent(&self) -> bool {
+        let is_failing = self.failures >= FAILURES_ABSENT || self.ejected_until.is_some();
+        self.listing == Listing::Absent && is_failing
+    }
+
+    /// Starts over at a low weight.
+    pub(super) fn returned(&mut self, now: Instant) {
+        self.ramp_from = Some(now);
+        self.ejected_until = None;
+        (self.failures, self.ejections, self.success) = (0, 0, 1.0);
+    }
+
+    pub(super) fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    pub(super) fn admits(&self, priority: Priority, now: Instant) -> bool {
+        self.level(now).is_none_or(|level| level.admits(priority))
+    }
+
+    /// The reported level, opening with age.
+    pub(super) fn level(&self, now: Instant) -> Option<Level> {
+        let (_, level, at) = self.report?;
+        Some(aged(level, now.saturating_duration_since(at)))
+    }
+
+    pub(super) fn latency(&self) -> Option<f64> {
+        self.latency
+    }
+
+    /// Calls there, as far as known. A report raises the node's own count but never lowers it, and
+    /// can't claim more than the slots and a full queue; a false report therefore has bounds.
+    pub(super) fn load(&self, now: Instant) -> f64 {
+        let own = f64::from(self.in_flight);
+        let Some((load, ..)) = self.fresh(now) else {
+            return own;
+        };
+        let slots = f64::from(self.upstream.slots);
+        let reported = f64::from(load.in_flight).min(slots);
+        own.max(reported) + f64::from(load.queued).min(slots * QUEUED_MAX)
+    }
+
+    /// Share of the calls that it should get, in slots. `best` is the lowest latency among the
+    /// upstreams compared.
+    pub(super) fn weight(&self, best: f64, now: Instant) -> f64 {
+        let slots = f64::from(self.upstream.slots);
+        let limit = self.fresh(now).map(|(load, ..)| f64::from(load.limit));
+        let usable = limit.map_or(slots, |limit| limit.clamp(slots * WEIGHT_MIN, slots));
+        let speed = self
+            .latency
+            .map_or(1.0, |l| if l > best { best / l } else { 1.0 });
+        usable * (self.ramp(now) * self.success * speed).max(WEIGHT_MIN)
+    }
+
+    fn ramp(&self, now: Instant) -> f64 {
+        let Some(from) = self.ramp_from else {
+            return 1.0;
+        };
+        let share = now.saturating_duration_since(from).as_secs_f64() / RAMP.as_secs_f64();
+        share.clamp(WEIGHT_MIN, 1.0)
+    }
+
+    fn fresh(&self, now: Instant) -> Option<(Load, Level, Instant)> {
+        self.report.filter(|(.., at)| now < *at + REPORT_TTL)
+    }
+
+    fn learn_latency(&mut self, sample: f64) {
+        let known = self.latency.unwrap_or(sample);
+        self.latency = Some(known + WEIGHT * (sample - known));
+    }
+
+    fn learn_success(&mut self, sample: f64) {
+        self.success += WEIGHT * (sample - self.success);
+    }
+
+    fn failed(&mut self, now: Instant) {
+        self.learn_success(0.0);
+        self.failures += 1;
+        // After an ejection the first failure ejects again, until an answer arrives.
+        let most = if self.ejections > 0 { 1 } else { FAILURES_MAX };
+        if self.failures < most || self.is_ejected(now) {
+            return;
+        }
+        let time = EJECTION_MIN * 2_u32.pow(self.ejections.min(5));
+        let until = now + time.min(EJECTION_MAX);
+        self.ejections += 1;
+        (self.ejected_until, self.ramp_from) = (Some(until), Some(until));
+    }
+}
