Test the decisions under the failures they guard against

Cause: only the limit and the queueing experiment had tests. Change: property tests of allowances, tickets and the queue; seeded tests of the gate's order, of crashing requests, and of routing under false, stale and missing reports; a criterion bench of one decision.

--- /dev/null
+++ b/benches/decision.rs
@@ -0,0 +1,124 @@
+//! Cost of one decision: admit, route and retry check, at 10 to 1,000 upstreams.
+
+use std::{collections::BTreeSet, hint::black_box, time::Duration};
+
+use comfreybay::{
+    coordination::{
+        gate::{Ask, Gate, GateState},
+        retry::Retry,
+        router::{Attempt, Router},
+    },
+    state::{
+        allowance::Allowance,
+        budget::RetryBudget,
+        config::Config,
+        id::{Digest, Fingerprint, Revision, RootId, ServiceName},
+        limit::End,
+        object::{Control, Favour, Upstream},
+        priority::Priority,
+        publication::Piece,
+    },
+};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use futures::FutureExt;
+use tokio::time::Instant;
+
+fn config(upstreams: usize) -> Config {
+    let service = r#"{"name":"s","owner":"o"}"#;
+    let deployment = r#"{"name":"d","owner":"o","favour":"goodput","zones":[]}"#;
+    let address = "127.0.0.1:1".parse().expect("valid address");
+    let upstream = |n: usize| Upstream {
+        name: format!("u-{n}").parse().expect("valid name"),
+        owner: "o".parse().expect("valid name"),
+        service: "s".parse().expect("valid name"),
+        zone: format!("z-{}", n % 3).parse().expect("valid name"),
+        public: address,
+        peer: address,
+        control: address,
+        slots: 100,
+        connections: 500,
+    };
+    let piece = Piece {
+        service: serde_json::from_str(service).expect("valid service"),
+        upstreams: (0..upstreams).map(upstream).collect(),
+        limits: vec![],
+        chains: vec![],
+        classes: vec![],
+    };
+    Config {
+        revision: Revision(1),
+        digest: Digest::of(b""),
+        deployment: serde_json::from_str(deployment).expect("valid deployment"),
+        pieces: [(piece.service.name.clone(), piece)].into(),
+    }
+}
+
+struct Parts {
+    gate: Gate,
+    router: Router,
+    service: ServiceName,
+    class: comfreybay::state::id::ClassName,
+    rng: fastrand::Rng,
+}
+
+impl Parts {
+    fn new(upstreams: usize) -> Self {
+        let mut rng = fastrand::Rng::with_seed(1);
+        let control = Control::Adaptive;
+        let name = "own".parse().expect("valid name");
+        let zone = "z-0".parse().expect("valid name");
+        let router = Router::new(name, zone, control, rng.fork());
+        router.apply(&config(upstreams));
+        let gate = Gate::new(1_000, Favour::Goodput, control, rng.fork());
+        gate.set_state(GateState::Serving);
+        Self {
+            gate,
+            router,
+            service: "s".parse().expect("valid name"),
+            class: "c".parse().expect("valid name"),
+            rng,
+        }
+    }
+
+    /// One call from its arrival to the end of its first attempt, with a retry checked.
+    fn decide(&mut self) {
+        let now = Instant::now();
+        let root = RootId::random(&mut self.rng);
+        let priority = Priority::new(1, false, root);
+        let span = Duration::from_secs(1);
+        let ask = Ask {
+            priority,
+            class: self.class.clone(),
+            important: false,
+            deadline: now + span,
+            span,
+            fingerprint: Fingerprint(root.0),
+        };
+        let permit = self.gate.admit(ask).now_or_never().expect("no wait");
+        let permit = permit.expect("the gate has room");
+        let services = std::slice::from_ref(&self.service);
+        assert!(self.router.refusing(services, priority).is_none());
+        let pick = self.router.pick(&self.service, priority, &BTreeSet::new());
+        pick.expect("an upstream").finish(Attempt::NotRun);
+        let rng = self.rng.fork();
+        let mut retry = Retry::new(true, now + span, Control::Adaptive, rng);
+        let mut allowance = Allowance::new(3);
+        let mut budget = RetryBudget::new();
+        let delay = retry.delay(Attempt::NotRun, &mut allowance, &mut budget, now);
+        black_box(delay);
+        permit.finish(Duration::from_millis(10), End::Answered);
+    }
+}
+
+fn decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decision");
+    for upstreams in [10, 20, 100, 1_000] {
+        let mut parts = Parts::new(upstreams);
+        let id = BenchmarkId::new("admit+route+retry", upstreams);
+        group.bench_function(id, |bencher| bencher.iter(|| parts.decide()));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -250,3 +250,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -115,6 +115,16 @@
         }
     }
 
+    #[cfg(test)]
+    pub(super) fn warm_up(&mut self) {
+        self.limiter.warm_up();
+    }
+
+    #[cfg(test)]
+    pub(super) fn set_limits(&mut self, limits: &[crate::state::object::Limit]) {
+        self.classes.apply(limits);
+    }
+
     /// Decides on an arrival; a call that was evicted for it is added to `refused`.
     pub(super) fn enter(&mut self, ask: Ask, refused: &mut Refused, now: Instant) -> Entered {
         self.meter.arrived(ask.priority, ask.important);
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -85,3 +85,6 @@
         allowance.left() > 0 && budget.spend(self.important) && allowance.spend()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/coordination/retry/tests.rs
@@ -0,0 +1,104 @@
+//! Guards against retries that repeat a request, outlive its deadline or exceed what is allowed.
+
+use super::*;
+
+fn delay(attempt: Attempt, repeatable: bool, control: Control) -> Option<Duration> {
+    let now = Instant::now();
+    let rng = fastrand::Rng::with_seed(1);
+    let mut retry = Retry::new(repeatable, now + Duration::from_secs(1), control, rng);
+    retry.delay(
+        attempt,
+        &mut Allowance::new(3),
+        &mut RetryBudget::new(),
+        now,
+    )
+}
+
+/// Guards against a repeated non-repeatable request and against feeding a crashing request to
+/// one server after another.
+#[test]
+fn attempts_that_may_have_run_are_not_repeated() {
+    let cases = [
+        (Attempt::Answered, false, false),
+        (Attempt::Cancelled, false, false),
+        (Attempt::NotRun, true, true),
+        (Attempt::Unreachable, true, true),
+        (Attempt::TimedOut, true, false),
+        (Attempt::Lost, false, false),
+    ];
+    for (attempt, when_repeatable, otherwise) in cases {
+        for control in [Control::Adaptive, Control::Fixed] {
+            let some = |repeatable| delay(attempt, repeatable, control).is_some();
+            assert_eq!(some(true), when_repeatable, "{attempt:?}");
+            assert_eq!(some(false), otherwise, "{attempt:?}");
+        }
+    }
+}
+
+/// Guards against delays outside 5-25 ms, doubling, and against a charge without a retry.
+#[test]
+fn delays_double_and_stop_at_allowance_and_deadline() {
+    for seed in 0..100 {
+        let now = Instant::now();
+        let deadline = now + Duration::from_millis(150);
+        let rng = fastrand::Rng::with_seed(seed);
+        let mut retry = Retry::new(true, deadline, Control::Adaptive, rng).important(true);
+        let (mut allowance, mut budget) = (Allowance::new(9), RetryBudget::new());
+        let mut spent = 0;
+        while let Some(delay) = retry.delay(Attempt::NotRun, &mut allowance, &mut budget, now) {
+            let (least, most) = (5 << spent, 25 << spent);
+            assert!(
+                (least..=most).contains(&(delay.as_millis() as u64)),
+                "{delay:?}"
+            );
+            assert!(now + delay < deadline);
+            spent += 1;
+        }
+        assert_eq!(allowance.left(), 9 - spent as u32);
+    }
+}
+
+/// Guards against retries without allowance or budget.
+#[test]
+fn allowance_and_budget_both_bound_retries() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(3_600);
+    let retry = || {
+        Retry::new(
+            true,
+            deadline,
+            Control::Adaptive,
+            fastrand::Rng::with_seed(1),
+        )
+    };
+    let mut budget = RetryBudget::new();
+    let mut allowance = Allowance::new(2);
+    let mut first = retry().important(true);
+    let mut count = || {
+        let delay = first.delay(Attempt::NotRun, &mut allowance, &mut budget, now);
+        delay.is_some()
+    };
+    assert_eq!((0..9).filter(|_| count()).count(), 2);
+    let mut allowance = Allowance::new(100);
+    let mut second = retry().important(true);
+    let mut count = || {
+        let delay = second.delay(Attempt::NotRun, &mut allowance, &mut budget, now);
+        delay.is_some()
+    };
+    assert_eq!((0..20).filter(|_| count()).count(), 8);
+    assert_eq!(allowance.left(), 92);
+}
+
+/// Guards against a baseline that is milder than three tries per hop.
+#[test]
+fn without_control_each_hop_tries_three_times() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(1);
+    let mut retry = Retry::new(true, deadline, Control::Off, fastrand::Rng::with_seed(1));
+    let (mut allowance, mut budget) = (Allowance::new(0), RetryBudget::new());
+    let mut count = || {
+        let delay = retry.delay(Attempt::Lost, &mut allowance, &mut budget, now);
+        delay.is_some()
+    };
+    assert_eq!((0..9).filter(|_| count()).count(), 2);
+}
--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -247,3 +247,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/allowance.rs
+++ b/src/state/allowance.rs
@@ -64,3 +64,6 @@
         std::mem::take(&mut self.left)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -50,3 +50,6 @@
         some
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/held.rs
+++ b/src/state/held.rs
@@ -89,3 +89,6 @@
     cut.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
     Fingerprint(cut)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/limit.rs
+++ b/src/state/limit.rs
@@ -168,6 +168,12 @@
         };
     }
 
+    /// Lets a test start with a server that is warm.
+    #[cfg(test)]
+    pub(crate) fn warm_up(&mut self) {
+        self.limit = self.slots;
+    }
+
     fn adapt(&mut self, window: Window, in_flight: u32, now: Instant) {
         let samples = f64::from(window.samples);
         let average = window.sum / samples;
--- a/src/state/queue.rs
+++ b/src/state/queue.rs
@@ -137,3 +137,6 @@
         self.entries.is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/suspect.rs
+++ b/src/state/suspect.rs
@@ -127,3 +127,6 @@
         self.known.insert(request, (standing, until));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/state/suspect/tests.rs
@@ -0,0 +1,82 @@
+//! Guards against suspects that are forgotten, kept for ever or blamed on hearsay.
+
+use super::*;
+
+fn request(n: u32) -> Fingerprint {
+    let mut bytes = [0; 16];
+    bytes[..4].copy_from_slice(&n.to_be_bytes());
+    Fingerprint(bytes)
+}
+
+/// Guards against standings that outlast their time.
+#[test]
+fn standings_expire() {
+    let now = Instant::now();
+    let mut table = SuspectTable::new();
+    table.suspect(request(1), now);
+    table.convict(request(2), now);
+    let cases = [
+        (0, Some(Standing::Suspect), Some(Standing::Convicted)),
+        (59, Some(Standing::Suspect), Some(Standing::Convicted)),
+        (60, None, Some(Standing::Convicted)),
+        (600, None, None),
+    ];
+    for (seconds, first, second) in cases {
+        let at = now + Duration::from_secs(seconds);
+        assert_eq!(table.standing(&request(1), at), first, "after {seconds} s");
+        assert_eq!(table.standing(&request(2), at), second, "after {seconds} s");
+    }
+}
+
+/// Guards against news that keeps a suspect alive by going round between nodes.
+#[test]
+fn news_does_not_extend_a_standing() {
+    let now = Instant::now();
+    let (mut first, mut second) = (SuspectTable::new(), SuspectTable::new());
+    first.suspect(request(1), now);
+    for seconds in 0..120 {
+        let at = now + Duration::from_secs(seconds);
+        second.learn(&first.news(at), at);
+        first.learn(&second.news(at), at);
+        let expected = (seconds < 60).then_some(Standing::Suspect);
+        assert_eq!(
+            second.standing(&request(1), at),
+            expected,
+            "after {seconds} s"
+        );
+    }
+}
+
+/// Guards against late news that suspects a request again after it completed here, and against
+/// a conviction that is undone by one completion.
+#[test]
+fn cleared_request_ignores_late_suspicion_but_not_conviction() {
+    let now = Instant::now();
+    let mut table = SuspectTable::new();
+    table.suspect(request(1), now);
+    let news = table.news(now);
+    table.clear(&request(1), now);
+    table.learn(&news, now);
+    assert_eq!(table.standing(&request(1), now), Some(Standing::Cleared));
+    let convicted = vec![(request(1), CONVICTED_TIME)];
+    let news = SuspectNews {
+        convicted,
+        ..SuspectNews::default()
+    };
+    table.learn(&news, now);
+    table.clear(&request(1), now);
+    assert_eq!(table.standing(&request(1), now), Some(Standing::Convicted));
+}
+
+/// Guards against unbounded memory, and against convictions pushed out by suspects.
+#[test]
+fn table_is_bounded_and_keeps_convictions() {
+    let now = Instant::now();
+    let mut table = SuspectTable::new();
+    table.convict(request(0), now);
+    for n in 1..2 * KNOWN_MAX as u32 {
+        table.suspect(request(n), now);
+        assert!(table.len() <= KNOWN_MAX);
+    }
+    assert_eq!(table.standing(&request(0), now), Some(Standing::Convicted));
+}
--- a/src/state/ticket.rs
+++ b/src/state/ticket.rs
@@ -302,3 +302,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/upstream/table/tests.rs
+++ b/src/state/upstream/table/tests.rs
@@ -1,1 +1,367 @@
-//! Tests.
+//! Guards against routing that believes reports more than its own measurements.
+
+use std::collections::BTreeMap;
+
+use super::{super::super::id::RootId, *};
+
+const SERVICE_MS: u64 = 50;
+
+fn upstream(n: usize, zone: usize) -> Upstream {
+    let address = "127.0.0.1:1".parse().expect("valid address");
+    Upstream {
+        name: format!("u-{n}").parse().expect("valid name"),
+        owner: "o".parse().expect("valid name"),
+        service: "s".parse().expect("valid name"),
+        zone: format!("z-{zone}").parse().expect("valid name"),
+        public: address,
+        peer: address,
+        control: address,
+        slots: 100,
+        connections: 500,
+    }
+}
+
+/// Drives a table with one call per ms; each call takes `took(upstream)` and ends as it says.
+struct Driver {
+    table: UpstreamTable,
+    rng: fastrand::Rng,
+    now: Instant,
+    calls: Vec<(Instant, Instant, UpstreamName, Attempt)>,
+}
+
+impl Driver {
+    /// `zones` gives the zone of each upstream; the node is in `z-0`.
+    fn new(zones: &[usize]) -> Self {
+        let name = |text: &str| text.parse().expect("valid name");
+        let mut table = UpstreamTable::new(name("own"), "z-0".parse().expect("valid name"));
+        let upstreams = zones.iter().enumerate().map(|(n, zone)| upstream(n, *zone));
+        let now = Instant::now();
+        table.apply(&upstreams.collect::<Vec<_>>(), now);
+        Self {
+            table,
+            rng: fastrand::Rng::with_seed(3),
+            now,
+            calls: Vec::new(),
+        }
+    }
+
+    /// Gives the calls per upstream.
+    fn run(
+        &mut self,
+        calls: usize,
+        mut took: impl FnMut(&str) -> (u64, Attempt),
+        mut each: impl FnMut(&mut UpstreamTable, Instant),
+    ) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for _ in 0..calls {
+            self.now += Duration::from_millis(1);
+            let now = self.now;
+            let ended = self.calls.extract_if(.., |(end, ..)| *end <= now);
+            for (end, start, name, attempt) in ended {
+                self.table.ended(&name, attempt, end - start, now);
+            }
+            each(&mut self.table, now);
+            let root = RootId::random(&mut self.rng);
+            let priority = Priority::new(1, false, root);
+            let picked = self
+                .table
+                .pick(priority, &BTreeSet::new(), &mut self.rng, now);
+            let Some(picked) = picked else { continue };
+            *counts.entry(picked.name.to_string()).or_default() += 1;
+            let (ms, attempt) = took(picked.name.as_str());
+            let end = now + Duration::from_millis(ms);
+            self.calls.push((end, now, picked.name.clone(), attempt));
+        }
+        counts
+    }
+}
+
+fn same(_: &str) -> (u64, Attempt) {
+    (SERVICE_MS, Attempt::Answered)
+}
+
+fn nothing(_: &mut UpstreamTable, _: Instant) {}
+
+fn name(n: usize) -> UpstreamName {
+    format!("u-{n}").parse().expect("valid name")
+}
+
+fn listed(names: impl IntoIterator<Item = usize>, state: ListState) -> Vec<Listed> {
+    let listed = |n| Listed {
+        name: name(n),
+        state,
+    };
+    names.into_iter().map(listed).collect()
+}
+
+/// Guards against an uneven spread over equal upstreams.
+#[test]
+fn equal_upstreams_get_equal_shares() {
+    let counts = Driver::new(&[0; 5]).run(5_000, same, nothing);
+    for (name, count) in counts {
+        assert!((800..=1_200).contains(&count), "{name}: {count}");
+    }
+}
+
+/// Guards against an upstream that attracts all traffic by reporting no load, a huge limit, or
+/// an empty queue, while it is in fact five times slower.
+#[test]
+fn lying_report_does_not_attract_all_traffic() {
+    let slow = |n: &str| {
+        (
+            if n == "u-0" {
+                5 * SERVICE_MS
+            } else {
+                SERVICE_MS
+            },
+            Attempt::Answered,
+        )
+    };
+    let honest = Driver::new(&[0; 4]).run(8_000, slow, nothing);
+    let lie = |table: &mut UpstreamTable, now| {
+        let claimed = Load {
+            in_flight: 0,
+            limit: u32::MAX,
+            queued: 0,
+        };
+        let busy = Load {
+            in_flight: 30,
+            limit: 100,
+            queued: 10,
+        };
+        table.learn_load(&name(0), claimed, Level::OPEN, now);
+        (1..4).for_each(|n| table.learn_load(&name(n), busy, Level::OPEN, now));
+    };
+    let lied = Driver::new(&[0; 4]).run(8_000, slow, lie);
+    assert!(honest["u-0"] < 1_000, "{honest:?}");
+    assert!(lied["u-0"] < 4_000, "{lied:?}");
+}
+
+/// Guards against an upstream that is avoided for ever because it once reported a full queue.
+#[test]
+fn stale_report_is_forgotten() {
+    let mut driver = Driver::new(&[0; 4]);
+    let full = Load {
+        in_flight: u32::MAX,
+        limit: 0,
+        queued: u32::MAX,
+    };
+    driver
+        .table
+        .learn_load(&name(0), full, Level(0), driver.now);
+    let avoided = driver.run(400, same, nothing);
+    assert_eq!(avoided.get("u-0"), None, "{avoided:?}");
+    driver.run(3_000, same, nothing);
+    let counts = driver.run(4_000, same, nothing);
+    assert!(counts["u-0"] > 700, "{counts:?}");
+}
+
+/// Guards against half of a service vanishing from the list: nothing changes.
+#[test]
+fn half_a_service_vanishing_from_the_list_changes_nothing() {
+    let mut driver = Driver::new(&[0, 0, 1, 1, 2, 2]);
+    let before: Vec<_> = driver.table.active().map(|u| u.name.clone()).collect();
+    driver
+        .table
+        .learn_list(&listed(0..6, ListState::Live), driver.now);
+    for _ in 0..100 {
+        driver
+            .table
+            .learn_list(&listed(0..3, ListState::Live), driver.now);
+        driver.run(1_000, same, nothing);
+        let after: Vec<_> = driver.table.active().map(|u| u.name.clone()).collect();
+        assert_eq!(after, before);
+    }
+    driver.table.learn_list(&[], driver.now);
+    assert_eq!(driver.table.active().count(), 6);
+}
+
+/// Guards against a false list that removes half of a service once connections fail briefly.
+#[test]
+fn false_list_and_failures_leave_at_least_half() {
+    let mut driver = Driver::new(&[0; 6]);
+    for _ in 0..60 {
+        driver.table.learn_list(&[], driver.now);
+        driver.run(1_000, |_| (1, Attempt::Unreachable), nothing);
+        assert!(driver.table.active().count() >= 3);
+    }
+}
+
+/// Guards against calls to an upstream that has gone, or that is never used again on return.
+#[test]
+fn absent_and_unreachable_upstream_is_removed_and_returns() {
+    let mut driver = Driver::new(&[0; 6]);
+    driver
+        .table
+        .learn_list(&listed(0..6, ListState::Live), driver.now);
+    let dead = |n: &str| match n {
+        "u-0" => (1, Attempt::Unreachable),
+        _ => (SERVICE_MS, Attempt::Answered),
+    };
+    driver
+        .table
+        .learn_list(&listed(1..6, ListState::Live), driver.now);
+    driver.run(2_000, dead, nothing);
+    let counts = driver.run(2_000, dead, nothing);
+    assert_eq!(counts.get("u-0"), None, "{counts:?}");
+    driver
+        .table
+        .learn_list(&listed(0..6, ListState::Live), driver.now);
+    driver.run(6_000, same, nothing);
+    let counts = driver.run(6_000, same, nothing);
+    assert!(counts["u-0"] > 700, "{counts:?}");
+}
+
+/// Guards against new work for a leaving upstream, said by itself or by the list.
+#[test]
+fn leaving_upstream_gets_no_calls() {
+    let mut driver = Driver::new(&[0; 3]);
+    driver.table.learn_leaving(&name(0), true, driver.now);
+    let mut list = listed([1], ListState::Leaving);
+    list.extend(listed([0, 2], ListState::Live));
+    driver.table.learn_list(&list, driver.now);
+    let counts = driver.run(1_000, same, nothing);
+    assert_eq!(counts.into_keys().collect::<Vec<_>>(), ["u-2"]);
+    driver.table.learn_leaving(&name(0), false, driver.now);
+    assert!(driver.run(1_000, same, nothing).contains_key("u-0"));
+}
+
+/// Guards against calls into a dead upstream, and against one that stays out after it is back.
+#[test]
+fn failing_upstream_is_ejected_and_returns_slowly() {
+    let mut driver = Driver::new(&[0; 4]);
+    driver.run(1_000, same, nothing);
+    let dead = |n: &str| match n {
+        "u-0" => (1, Attempt::Lost),
+        _ => (SERVICE_MS, Attempt::Answered),
+    };
+    let counts = driver.run(10_000, dead, nothing);
+    // Its share without ejection would be 2,500.
+    assert!(counts["u-0"] <= 50, "{counts:?}");
+    driver.run(40_000, same, nothing);
+    let counts = driver.run(4_000, same, nothing);
+    assert!(counts["u-0"] > 700, "{counts:?}");
+}
+
+/// Guards against ejection that leaves a service without upstreams.
+#[test]
+fn ejection_has_no_effect_below_half() {
+    let mut driver = Driver::new(&[0; 4]);
+    let mostly_dead = |n: &str| match n {
+        "u-0" => (SERVICE_MS, Attempt::Answered),
+        _ => (1, Attempt::Lost),
+    };
+    let counts = driver.run(5_000, mostly_dead, nothing);
+    assert_eq!(counts.len(), 4);
+    assert_eq!(
+        counts.values().sum::<usize>(),
+        5_000,
+        "each call has an upstream"
+    );
+}
+
+/// Guards against calls that cross zones without need, and against an overloaded own zone
+/// beside idle ones.
+#[test]
+fn own_zone_is_preferred_until_it_is_loaded() {
+    let mut driver = Driver::new(&[0, 0, 1, 1, 2, 2]);
+    // 10 calls in flight on 200 local slots stay local.
+    let counts = driver.run(2_000, |_| (10, Attempt::Answered), nothing);
+    assert_eq!(counts.keys().collect::<Vec<_>>(), ["u-0", "u-1"]);
+    // Each local upstream reports a full server and queue.
+    let full = |table: &mut UpstreamTable, now| {
+        let load = Load {
+            in_flight: 100,
+            limit: 100,
+            queued: 100,
+        };
+        (0..2).for_each(|n| table.learn_load(&name(n), load, Level::OPEN, now));
+    };
+    let counts = driver.run(2_000, same, full);
+    let local = counts.get("u-0").unwrap_or(&0) + counts.get("u-1").unwrap_or(&0);
+    assert!(local < 1_000, "{counts:?}");
+}
+
+/// Guards against a zone with lost packets that still gets most calls, and against one that
+/// gets none and so is never seen to recover.
+#[test]
+fn degraded_zone_keeps_a_small_share() {
+    let mut driver = Driver::new(&[0, 0, 1, 1]);
+    let mut lossy = fastrand::Rng::with_seed(5);
+    let mut degraded = |n: &str| match n {
+        "u-0" | "u-1" if lossy.bool() => (200, Attempt::TimedOut),
+        "u-0" | "u-1" => (200, Attempt::Answered),
+        _ => (SERVICE_MS, Attempt::Answered),
+    };
+    driver.run(5_000, &mut degraded, nothing);
+    let counts = driver.run(10_000, &mut degraded, nothing);
+    let share = (counts["u-0"] + counts["u-1"]) as f64 / 10_000.0;
+    assert!((0.01..0.30).contains(&share), "{share}");
+}
+
+/// Guards against a new upstream that gets its full share at once.
+#[test]
+fn new_upstream_starts_slowly() {
+    let mut driver = Driver::new(&[0; 3]);
+    driver.run(1_000, same, nothing);
+    let upstreams: Vec<_> = (0..4).map(|n| upstream(n, 0)).collect();
+    driver.table.apply(&upstreams, driver.now);
+    let first = driver.run(500, same, nothing);
+    driver.run(5_000, same, nothing);
+    let later = driver.run(4_000, same, nothing);
+    let share = *first.get("u-3").unwrap_or(&0) as f64 / 500.0;
+    assert!(share <= 0.10, "{share}");
+    assert!(later["u-3"] > 700, "{later:?}");
+}
+
+/// Guards against calls to an upstream whose level excludes them while another admits them.
+#[test]
+fn admitting_upstream_is_preferred() {
+    let mut driver = Driver::new(&[0; 3]);
+    let closed = |table: &mut UpstreamTable, now| {
+        (0..2).for_each(|n| table.learn_load(&name(n), Load::default(), Level(0), now));
+    };
+    let counts = driver.run(1_000, same, closed);
+    assert_eq!(counts.into_keys().collect::<Vec<_>>(), ["u-2"]);
+}
+
+/// Guards against a decision whose cost grows with the service, in entries looked at.
+#[test]
+fn choice_looks_at_a_bounded_number_of_upstreams() {
+    let examined = |upstreams: usize| {
+        let zones: Vec<_> = (0..upstreams).map(|n| n % 3).collect();
+        let mut driver = Driver::new(&zones);
+        driver.run(1_000, same, nothing);
+        driver.table.examined() as f64 / 1_000.0
+    };
+    let few = examined(10);
+    for upstreams in [24, 25, 100, 1_000] {
+        let many = examined(upstreams);
+        let growth = (upstreams as f64).log2() / 10_f64.log2();
+        assert!(
+            many <= few * growth.max(2.4),
+            "{upstreams}: {many} entries, 10: {few}"
+        );
+    }
+}
+
+/// Guards against a subset in one zone, or one that all nodes share.
+#[test]
+fn subset_mixes_zones_and_differs_between_nodes() {
+    let upstreams: Vec<_> = (0..100).map(|n| upstream(n, n % 4)).collect();
+    let mut used = BTreeMap::new();
+    for node in 0..200 {
+        let own = format!("node-{node}").parse().expect("valid name");
+        let mut table = UpstreamTable::new(own, "z-1".parse().expect("valid name"));
+        table.apply(&upstreams, Instant::now());
+        let mut zones = BTreeMap::<_, usize>::new();
+        for upstream in table.active() {
+            *zones.entry(upstream.zone.clone()).or_default() += 1;
+            *used.entry(upstream.name.clone()).or_insert(0) += 1;
+        }
+        assert_eq!(zones.into_values().collect::<Vec<_>>(), [5; 4]);
+    }
+    // 200 nodes x 20 upstreams over 100: 40 each on average.
+    assert_eq!(used.len(), 100);
+    assert!(used.values().all(|n| (15..=75).contains(n)), "{used:?}");
+}
