--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -1,6 +1,7 @@
 //! Accept loops and connections of the listeners.
 
 use std::{
+    cell::Cell,
     convert::Infallible,
     future::Future,
     net::{IpAddr, SocketAddr},
@@ -125,12 +126,22 @@
     H: Handler,
 {
     let streams = Tasks::default();
+    let used = Rc::new(Cell::new(false));
+    let mark = used.clone();
     let service = service_fn(move |request| {
+        mark.set(true);
         let answer = handler.clone().answer(request, from);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let builder = builder(version, streams.clone());
     let mut conn = pin!(builder.serve_connection(TokioIo::new(conn), service));
+    // The HTTP library limits the time for a head only once it knows the version.
+    let unused = async {
+        sleep(Duration::from_millis(HEAD_WAIT_MS)).await;
+        if used.get() {
+            std::future::pending().await
+        }
+    };
     let ended = tokio::select! {
         biased;
         () = stop.refuse.cancelled() => {
@@ -138,6 +149,7 @@
             conn.await
         }
         ended = conn.as_mut() => ended,
+        () = unused => return,
     };
     if let Err(error) = ended {
         log::debug!("connection from {from} ended: {error}");
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,256 @@
+//! Guards the answers of the request path: whole, to the right caller, with a true outcome.
+
+mod support;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use support::{Act, Fleet, class, local, ok, publication, relay, script};
+use tokio::time::{Instant, sleep};
+
+const SMALL: usize = 1_024;
+const LARGE: usize = 200 * 1_024;
+
+fn next() -> BTreeMap<&'static str, &'static str> {
+    BTreeMap::from([("front", "deep")])
+}
+
+/// Guards against a short answer that looks whole when the server dies while it answers.
+#[tokio::test(start_paused = true)]
+async fn answer_that_breaks_is_an_error() {
+    for size in [SMALL, LARGE] {
+        for deep in [false, true] {
+            local(async move {
+                let broken = script(move |seen: support::Seen| async move {
+                    if deep && seen.upstream == "front-0" {
+                        return match seen.call("deep", Bytes::new()).await {
+                            Ok(answer) => {
+                                let below = answer.outcome();
+                                let mut response = Response::new(answer.body);
+                                *response.status_mut() = answer.status;
+                                response
+                                    .headers_mut()
+                                    .insert("x-below", below.parse().unwrap());
+                                Act::Answer(response)
+                            }
+                            Err(_) => ok("below broke"),
+                        };
+                    }
+                    Act::Chunks(vec![Bytes::from(vec![7; size / 4]); 3], false)
+                });
+                let services = [("front", 1), ("deep", 1)];
+                let fleet = Fleet::start(publication(&services, &[class("a")]), broken).await;
+                let answer = fleet.post("front-0", "/a", &[], "").await;
+                match (deep, size, answer) {
+                    // The head was passed on, so the connection must break.
+                    (false, LARGE, answer) => assert!(answer.is_err(), "{answer:?}"),
+                    (false, _, answer) => {
+                        let answer = answer.unwrap();
+                        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+                        assert_eq!(answer.outcome(), "failed");
+                    }
+                    (true, LARGE, answer) => assert_eq!(answer.unwrap().body, "below broke"),
+                    (true, _, answer) => {
+                        let answer = answer.unwrap();
+                        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+                        assert_eq!(answer.header("x-below"), "failed");
+                    }
+                }
+            })
+            .await;
+        }
+    }
+}
+
+/// Guards against answers whose truncation can't be detected.
+#[tokio::test(start_paused = true)]
+async fn answers_without_a_provable_end_are_errors() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabc",
+        "no answer at all",
+        "",
+    ];
+    for head in heads {
+        local(async move {
+            let server = script(move |_| async move { Act::Raw(head.into()) });
+            let fleet = Fleet::start(publication(&[("front", 1)], &[class("a")]), server).await;
+            let answer = fleet.post("front-0", "/a", &[], "").await.unwrap();
+            assert_eq!(answer.outcome(), "failed", "{head:?} gave {answer:?}");
+            assert!(answer.body.is_empty(), "{head:?}");
+        })
+        .await;
+    }
+}
+
+/// Guards against an answer that arrives after its deadline and reaches another caller.
+#[tokio::test(start_paused = true)]
+async fn late_answer_reaches_nobody() {
+    local(async {
+        let slow = script(|seen: support::Seen| async move {
+            if seen.id() == "slow" {
+                sleep(Duration::from_millis(500)).await;
+            }
+            ok(seen.id())
+        });
+        let fleet = Fleet::start(publication(&[("front", 1)], &[class("a")]), slow).await;
+        for _ in 0..20 {
+            let headers = [("x-id", "slow"), ("cb-timeout-ms", "100")];
+            let late = fleet.post("front-0", "/a", &headers, "").await.unwrap();
+            assert_eq!(late.outcome(), "unknown");
+            for id in ["1", "2", "3"] {
+                let answer = fleet
+                    .post("front-0", "/a", &[("x-id", id)], "")
+                    .await
+                    .unwrap();
+                assert_eq!(answer.body, id);
+                sleep(Duration::from_millis(150)).await;
+            }
+        }
+    })
+    .await;
+}
+
+/// Guards against a call that may have run and is reported as `not-run`.
+#[tokio::test(start_paused = true)]
+async fn timeout_is_unknown_at_every_depth() {
+    for stalls in ["front-0", "middle-0", "deep-0"] {
+        local(async move {
+            let order = BTreeMap::from([("front", "middle"), ("middle", "deep")]);
+            let inner = relay(order);
+            let stall = script(move |seen: support::Seen| {
+                let inner = inner.clone();
+                async move {
+                    if seen.upstream == stalls {
+                        std::future::pending::<()>().await;
+                    }
+                    inner(seen).await
+                }
+            });
+            let services = [("front", 1), ("middle", 1), ("deep", 1)];
+            let fleet = Fleet::start(publication(&services, &[class("a")]), stall).await;
+            let start = Instant::now();
+            let answer = fleet
+                .post("front-0", "/a", &[("x-id", "1")], "")
+                .await
+                .unwrap();
+            assert!(start.elapsed() >= Duration::from_millis(1_990));
+            assert!(
+                start.elapsed() <= Duration::from_millis(2_100),
+                "{:?}",
+                start.elapsed()
+            );
+            assert_ne!(answer.outcome(), "not-run");
+            assert_eq!(
+                fleet.runs_of("1").iter().filter(|u| *u == stalls).count(),
+                1
+            );
+        })
+        .await;
+    }
+}
+
+/// Guards against a lost connection to a peer that is reported as `not-run`.
+#[tokio::test(start_paused = true)]
+async fn crash_of_a_peer_in_flight_is_failed() {
+    local(async {
+        let inner = relay(next());
+        let stall = script(move |seen: support::Seen| {
+            let inner = inner.clone();
+            async move {
+                if seen.upstream == "deep-0" {
+                    sleep(Duration::from_millis(300)).await;
+                }
+                inner(seen).await
+            }
+        });
+        let services = [("front", 1), ("deep", 1)];
+        let fleet = Fleet::start(publication(&services, &[class("a")]), stall).await;
+        let crash = async {
+            sleep(Duration::from_millis(100)).await;
+            fleet.members["deep-0"].node.crash();
+        };
+        let (answer, ()) = tokio::join!(fleet.post("front-0", "/a", &[("x-id", "1")], ""), crash);
+        assert_eq!(answer.unwrap().header("x-below"), "failed");
+        // Nothing listens there any more, which proves that the next call did not run.
+        let answer = fleet
+            .post("front-0", "/a", &[("x-id", "2")], "")
+            .await
+            .unwrap();
+        assert_eq!(answer.header("x-below"), "not-run");
+        assert_eq!(fleet.runs_of("2"), ["front-0"]);
+    })
+    .await;
+}
+
+/// Guards against calls below that run on after their caller has disconnected.
+#[tokio::test(start_paused = true)]
+async fn disconnect_cancels_the_calls_below() {
+    local(async {
+        let inner = relay(next());
+        let slow = script(move |seen: support::Seen| {
+            let inner = inner.clone();
+            async move {
+                if seen.upstream == "deep-0" {
+                    sleep(Duration::from_millis(1_000)).await;
+                }
+                inner(seen).await
+            }
+        });
+        let services = [("front", 1), ("deep", 1)];
+        let fleet = Fleet::start(publication(&services, &[class("a")]), slow).await;
+        let call = fleet.post("front-0", "/a", &[], "");
+        assert!(
+            tokio::time::timeout(Duration::from_millis(200), call)
+                .await
+                .is_err()
+        );
+        sleep(Duration::from_millis(100)).await;
+        for name in ["front-0", "deep-0"] {
+            let parts = &fleet.members[name].parts;
+            assert_eq!(parts.calls.borrow().len(), 0, "{name}");
+            assert_eq!(parts.gate.load().in_flight, 0, "{name}");
+        }
+    })
+    .await;
+}
+
+/// Guards against refusals without the headers that tell callers when to return.
+#[tokio::test(start_paused = true)]
+async fn shed_answer_is_not_run_only_without_egress() {
+    local(async {
+        let shed = script(|seen: support::Seen| async move {
+            if seen.id() == "calls" && seen.upstream == "front-0" {
+                let _ = seen.call("deep", Bytes::new()).await;
+            }
+            if seen.upstream == "deep-0" {
+                return ok("");
+            }
+            let response = Response::builder().status(503).header("x-shed", "1");
+            Act::Answer(response.body(Bytes::new()).unwrap())
+        });
+        let services = [("front", 1), ("deep", 1)];
+        let fleet = Fleet::start(publication(&services, &[class("a")]), shed).await;
+        let answer = fleet
+            .post("front-0", "/a", &[("x-id", "plain")], "")
+            .await
+            .unwrap();
+        assert_eq!(answer.outcome(), "not-run");
+        let retry_ms: u64 = answer.header("cb-retry-ms").parse().unwrap();
+        let retry_s: u64 = answer.header("retry-after").parse().unwrap();
+        assert!(
+            (250..=750).contains(&retry_ms) && retry_s == 1,
+            "{answer:?}"
+        );
+        let answer = fleet
+            .post("front-0", "/a", &[("x-id", "calls")], "")
+            .await
+            .unwrap();
+        assert_ne!(answer.outcome(), "not-run");
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/retries.rs
@@ -0,0 +1,92 @@
+//! Guards the allowance of extra attempts over a whole chain.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use comfreybay::state::{counters::Counter, object::Class};
+use http::Response;
+use support::{Act, Fleet, class, local, ok, publication, script};
+
+/// Extra attempts sent by all nodes.
+fn sent(fleet: &Fleet) -> u64 {
+    let counters = fleet.members.values().map(|m| &m.parts.counters);
+    counters.map(|c| c.get(Counter::RetriesSent)).sum()
+}
+
+fn shed() -> Act {
+    let response = Response::builder().status(503).header("x-shed", "1");
+    Act::Answer(response.body(Bytes::new()).unwrap())
+}
+
+/// Guards against retries that multiply over the hops of a chain.
+#[tokio::test(start_paused = true)]
+async fn allowance_bounds_attempts_over_three_hops() {
+    for retries in [0, 1, 3, 7] {
+        let mut retried = false;
+        for seed in 0..10_u64 {
+            let extra = local(async move {
+                let mut total = 0;
+                // Every backend server below the first sheds with some chance, and each calls
+                // the next one twice.
+                let rng = std::cell::RefCell::new(fastrand::Rng::with_seed(seed));
+                let flaky = script(move |seen: support::Seen| {
+                    let sheds = rng.borrow_mut().u8(..100) < 70;
+                    async move {
+                        let next = match seen.upstream.split('-').next().unwrap() {
+                            "front" => "middle",
+                            "middle" if !sheds => "deep",
+                            "deep" if !sheds => return ok("done"),
+                            _ => return shed(),
+                        };
+                        let (a, b) = tokio::join!(
+                            seen.call(next, Bytes::new()),
+                            seen.call(next, Bytes::new()),
+                        );
+                        let whole = [a, b]
+                            .into_iter()
+                            .flatten()
+                            .all(|a| a.outcome() == "complete");
+                        ok(if whole { "done" } else { "partly" })
+                    }
+                });
+                let class = Class {
+                    retries,
+                    ..class("a")
+                };
+                let services = [("front", 2), ("middle", 3), ("deep", 3)];
+                let fleet = Fleet::start(publication(&services, &[class]), flaky).await;
+                for n in 0..5 {
+                    let before = sent(&fleet);
+                    let id = n.to_string();
+                    fleet
+                        .post("front-0", "/a", &[("x-id", &id)], "")
+                        .await
+                        .unwrap();
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                    let extra = sent(&fleet) - before;
+                    assert!(
+                        extra <= u64::from(retries),
+                        "{extra} of {retries}, seed {seed}"
+                    );
+                    // Beside the retries, a run makes two calls.
+                    let runs = fleet.runs_of(&id);
+                    let at =
+                        |service| runs.iter().filter(|u| u.starts_with(service)).count() as u64;
+                    assert!(at("middle") <= 2 * at("front") + extra);
+                    assert!(at("deep") <= 2 * at("middle") + extra);
+                    total += extra;
+                }
+                total
+            })
+            .await;
+            retried |= extra > 0;
+        }
+        assert_eq!(
+            retried,
+            retries > 0,
+            "the bound is only tested when calls are retried"
+        );
+    }
+}
