--- a/src/coordination/follow.rs
+++ b/src/coordination/follow.rs
@@ -10,12 +10,16 @@
 use bytes::Bytes;
 use thiserror::Error;
 
-use crate::state::{
-    self,
-    config::Config,
-    id::{Digest, Revision, ServiceName},
-    publication::{BUCKETS, Bucket, FORMAT, Head, Piece, bucket_of, decode},
-    store::{ConfigStore, Contents, Offered},
+use crate::{
+    coordination::check::{Set, Severity, check},
+    state::{
+        self,
+        config::Config,
+        id::{Digest, Revision, ServiceName},
+        object::Object,
+        publication::{BUCKETS, Bucket, FORMAT, Head, Piece, bucket_of, decode},
+        store::{ConfigStore, Contents, Offered},
+    },
 };
 
 /// Services linked to each service, so that the graph of peers is connected over all services.
@@ -35,6 +39,9 @@
     /// The head has the wrong number of buckets.
     #[error("could not accept a head with {0} buckets: expected {BUCKETS}")]
     Buckets(usize),
+    /// The pieces do not form a valid set.
+    #[error("could not accept the set of pieces: {0}")]
+    Set(String),
     /// A piece does not fit the place it is listed at.
     #[error("could not accept the piece of service {service}: {reason}")]
     Piece {
@@ -242,14 +249,54 @@
     }
 
     /// The assembled configuration with its encoded parts.
-    pub fn finish(self) -> (Config, Contents) {
+    ///
+    /// # Errors
+    /// The pieces do not form a valid set together.
+    pub fn finish(self) -> Result<(Config, Contents)> {
         let config = Config {
             revision: self.head.revision,
             digest: self.digest,
             deployment: self.head.deployment,
             pieces: self.pieces,
         };
-        (config, self.contents)
+        check_set(&config)?;
+        Ok((config, self.contents))
+    }
+}
+
+/// Checks the pieces that a node holds as one set.
+///
+/// # Errors
+/// Two pieces contradict each other, or the set breaks a rule of publication.
+pub fn check_set(config: &Config) -> Result<()> {
+    let mut objects = BTreeMap::new();
+    let mut all = vec![Object::Deployment(config.deployment.clone())];
+    for piece in config.pieces.values() {
+        all.push(Object::Service(piece.service.clone()));
+        all.extend(piece.upstreams.iter().cloned().map(Object::Upstream));
+        all.extend(piece.limits.iter().cloned().map(Object::Limit));
+        all.extend(piece.chains.iter().cloned().map(Object::Chain));
+        all.extend(piece.classes.iter().cloned().map(Object::Class));
+    }
+    for object in all {
+        let key = (object.kind(), object.name().to_owned());
+        let name = key.1.clone();
+        if *objects.entry(key).or_insert_with(|| object.clone()) != object {
+            let reason = format!("two pieces define {name} differently");
+            return Err(FollowError::Set(reason));
+        }
+    }
+    // A node holds a part of the publication, so rules about missing objects do not apply.
+    let set = Set {
+        partial: true,
+        ..Set::of(objects.into_values())
+    };
+    let fault = check(&set)
+        .into_iter()
+        .find(|f| f.severity == Severity::Fault);
+    match fault {
+        Some(fault) => Err(FollowError::Set(fault.message)),
+        None => Ok(()),
     }
 }
 
@@ -380,11 +427,14 @@
     ///
     /// The check is repeated here because other sources may have been faster, or the process may
     /// have been paused, while the parts were fetched.
-    pub fn accept(&self, assembly: Assembly) -> Offered {
+    ///
+    /// # Errors
+    /// The pieces do not form a valid set together.
+    pub fn accept(&self, assembly: Assembly) -> Result<Offered> {
         if self.floor.get().is_none_or(|f| assembly.revision() < f) {
-            return Offered::Older;
+            return Ok(Offered::Older);
         }
-        let (config, contents) = assembly.finish();
-        self.store.accept(config, contents)
+        let (config, contents) = assembly.finish()?;
+        Ok(self.store.accept(config, contents))
     }
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod measure;
 pub mod plan;
+pub mod planes;
 pub mod script;
 pub mod server;
 pub mod tally;
--- a/src/transport/control/follow.rs
+++ b/src/transport/control/follow.rs
@@ -168,7 +168,7 @@
         ask_peers(shared, &mut assembly, from.as_ref()).await?;
         read_service(shared, &mut assembly, patience, round).await?;
         if assembly.wanted(&shared.store)?.is_empty() {
-            return Ok(Some(shared.accept(assembly, noticed)));
+            return shared.accept(assembly, noticed).map(Some);
         }
         sleep(shared.jitter(ROUND_MS, 2 * ROUND_MS)).await;
         if round > 0 {
--- a/src/transport/control/share.rs
+++ b/src/transport/control/share.rs
@@ -13,7 +13,7 @@
 use super::Control;
 use crate::{
     coordination::{
-        follow::{Assembly, Follower},
+        follow::{Assembly, FollowError, Follower},
         gate::{Gate, GateState},
         leave::Leave,
         membership::{ACCEPTED_MAX, Readers, zone_size},
@@ -220,16 +220,19 @@
     }
 
     /// Puts an assembled configuration in effect, if it may be.
-    pub fn accept(&self, assembly: Assembly, noticed: Instant) -> Offered {
+    ///
+    /// # Errors
+    /// Its pieces do not form a valid set.
+    pub fn accept(&self, assembly: Assembly, noticed: Instant) -> Result<Offered, FollowError> {
         let (revision, digest) = (assembly.revision(), assembly.digest());
-        let offered = self.follower.accept(assembly);
+        let offered = self.follower.accept(assembly)?;
         match offered {
             Offered::Accepted => self.accepted(revision, noticed),
             Offered::Older => self.counters.add(Counter::ConfigOlder, 1),
             Offered::Conflict => self.conflict(revision, digest, "a source".into()),
             Offered::Same => {}
         }
-        offered
+        Ok(offered)
     }
 
     /// Makes a configuration that the store has just taken known to the rest of the node.
