--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions: admission, routing, retries, acceptance of configuration, membership.
 
+pub mod check;
 pub mod follow;
 pub mod gate;
 pub mod leave;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,11 +3,13 @@
 pub mod admin;
 pub mod attempts;
 pub mod body;
+pub mod control;
 pub mod egress;
 pub mod health;
 pub mod link;
 pub mod memory;
 pub mod net;
+
 pub mod node;
 pub mod peer;
 pub mod platform;
