--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 mod error;
 pub mod report;
+pub mod settings;
 pub mod yaml;
 
 pub use error::{Error, Result, finish};
