--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod measure;
 pub mod plan;
+pub mod planes;
 pub mod plot;
 pub mod report;
 pub mod script;
