Run fleets with the control plane of the nodes

The control plane is joined to the node, so the stand-ins no longer hand the publication to it; nodes read it from the configuration service and peers.

--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -88,7 +88,6 @@
     units: RefCell<BTreeMap<UpstreamName, Unit>>,
     tasks: RefCell<JoinSet<()>>,
     errors: RefCell<Vec<String>>,
-    publication: Publication,
     warm: Cell<bool>,
     configuration: Configuration,
     instances: Instances,
@@ -141,7 +140,6 @@
             tasks: RefCell::default(),
             errors: RefCell::default(),
             warm: Cell::new(true),
-            publication: publication.clone(),
             configuration,
             instances: Instances::default(),
             directory: Directory::default(),
@@ -302,11 +300,7 @@
         let (fleet, token) = (Rc::downgrade(&self.0), stop.clone());
         let main = async move {
             let name = settings.name.clone();
-            let parts = Rc::new(node::Parts::new(settings));
-            if let Some(fleet) = fleet.upgrade() {
-                parts.store.accept_whole(&fleet.publication);
-            }
-            if let Err(error) = node::run_with(net, parts, token).await
+            if let Err(error) = node::run(net, settings, token).await
                 && let Some(fleet) = fleet.upgrade()
             {
                 fleet
