--- a/src/standin/audit.rs
+++ b/src/standin/audit.rs
@@ -1,11 +1,15 @@
 //! Checks what callers were told against what the backend servers ran.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write,
+};
 
 use serde::Serialize;
+use tokio::time::Instant;
 
 use super::{
-    ledger::{AttemptId, End, Ledger},
+    ledger::{AttemptId, End, Execution, Ledger},
     tally::{Attempt, Tally, Told},
 };
 use crate::state::id::ServiceName;
@@ -80,8 +84,9 @@
                     ));
                 }
             }
+            let trace = || trace(tally.start(), attempts, &executions);
             for attempt in attempts {
-                audit.check(attempt, &executions);
+                audit.check(attempt, &executions, &trace);
             }
         }
         for ((request, service), count) in runs {
@@ -94,21 +99,23 @@
         audit
     }
 
-    fn check(&mut self, attempt: &Attempt, executions: &[super::ledger::Execution]) {
+    fn check(&mut self, attempt: &Attempt, executions: &[Execution], trace: &dyn Fn() -> String) {
         let id = attempt.id;
         match attempt.told {
             Told::Wrong => {
                 self.wrong += 1;
-                self.sample(format!("id {id}: wrong answer"));
+                self.sample(format!("id {id}: wrong answer:{}", trace()));
             }
             Told::NotRun | Told::NoTicket if !executions.is_empty() => {
                 self.false_refusals += 1;
-                let first = &executions[0];
-                self.sample(format!("id {id}: told not-run, ran at {}", first.upstream));
+                self.sample(format!("id {id}: told not-run and ran:{}", trace()));
             }
             Told::Complete if !executions.iter().any(|e| e.end == End::Answered) => {
                 self.invented += 1;
-                self.sample(format!("id {id}: told complete, never answered"));
+                self.sample(format!(
+                    "id {id}: told complete, never answered:{}",
+                    trace()
+                ));
             }
             _ => {}
         }
@@ -121,6 +128,29 @@
     }
 }
 
+/// What was told and what ran, with times since the start.
+fn trace(start: Instant, attempts: &[Attempt], executions: &[Execution]) -> String {
+    let time = |t: Instant| t.saturating_duration_since(start).as_secs_f64();
+    let mut text = String::new();
+    for attempt in attempts {
+        let (sent, ended) = (time(attempt.sent), time(attempt.ended));
+        let why = attempt.why.as_deref().unwrap_or("-");
+        let node = attempt.node.map_or("-".to_owned(), |n| n.to_string());
+        let told = attempt.told;
+        let _ = write!(text, " [{sent:.3}-{ended:.3} {node} {told:?} {why}]");
+    }
+    for run in executions {
+        let _ = write!(
+            text,
+            " ({:.3} {} {:?})",
+            time(run.start),
+            run.upstream,
+            run.end
+        );
+    }
+    text
+}
+
 fn wasted(ledger: &Ledger, deepest: &ServiceName, good: &BTreeSet<AttemptId>) -> f64 {
     let (mut all, mut vain) = (0.0, 0.0);
     ledger.each(|id, list| {
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -149,6 +149,8 @@
     told: Told,
     ticket: Option<Held>,
     wait: Duration,
+    node: Option<SocketAddr>,
+    why: Option<String>,
 }
 
 impl<N: Net> Callers<N> {
@@ -223,6 +225,9 @@
                 class,
                 told,
                 sent,
+                ended: Instant::now(),
+                node: result.node,
+                why: result.why,
             });
             let again = match told {
                 Told::Complete => {
@@ -267,28 +272,30 @@
 
     async fn attempt(&self, flow: &Flow, id: u64, ticket: Option<&Held>, marked: bool) -> Try {
         let limit = flow.class.deadline() + Duration::from_millis(MARGIN_MS);
-        let nothing = |told| Try {
+        let nothing = |told, node| Try {
             told,
             ticket: None,
             wait: Duration::from_millis(MARGIN_MS),
+            node,
+            why: None,
         };
         for _ in 0..ADDRESSES {
             let Some(to) = self.choose(&flow.chain.entry, ticket) else {
-                return nothing(Told::Unconnected);
+                return nothing(Told::Unconnected, None);
             };
             let Some(request) = request(flow, id, ticket, marked) else {
-                return nothing(Told::Error);
+                return nothing(Told::Error, None);
             };
             match timeout(limit, self.client.send(to, request)).await {
-                Err(_) => return nothing(Told::Timeout),
-                Ok(Err(Failure::Broken)) => return nothing(Told::Broken),
+                Err(_) => return nothing(Told::Timeout, Some(to)),
+                Ok(Err(Failure::Broken)) => return nothing(Told::Broken, Some(to)),
                 Ok(Err(Failure::Connect)) => {
                     self.avoid.borrow_mut().insert(to, Instant::now());
                 }
                 Ok(Ok(reply)) => return read(flow, id, to, &reply),
             }
         }
-        nothing(Told::Unconnected)
+        nothing(Told::Unconnected, None)
     }
 
     fn choose(&self, service: &ServiceName, ticket: Option<&Held>) -> Option<SocketAddr> {
@@ -367,5 +374,7 @@
         told,
         ticket,
         wait: Duration::from_millis(wait.unwrap_or(MARGIN_MS)),
+        node: Some(from),
+        why: reply.header(header::WHY).map(str::to_owned),
     }
 }
--- a/src/standin/tally.rs
+++ b/src/standin/tally.rs
@@ -1,6 +1,6 @@
 //! What the callers were told, by class and time of arrival.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use hdrhistogram::Histogram;
 use tokio::time::Instant;
@@ -41,7 +41,7 @@
 }
 
 /// One attempt and what was told about it.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Attempt {
     /// Identifier sent along with it.
     pub id: AttemptId,
@@ -53,6 +53,12 @@
     pub told: Told,
     /// When it was sent.
     pub sent: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// The node that it was last sent to.
+    pub node: Option<SocketAddr>,
+    /// The reason that the node gave.
+    pub why: Option<String>,
 }
 
 /// Client requests that arrived within one bucket.
