--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -11,6 +11,7 @@
 pub mod net;
 
 pub mod node;
+pub mod parts;
 pub mod peer;
 pub mod platform;
 pub mod pool;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -509,6 +509,9 @@
     async fn act(&self, request: Request<Incoming>) -> Result<Act, hyper::Error> {
         let (head, body) = request.into_parts();
         let body = body.collect().await?.to_bytes();
+        if head.uri.path() == "/load" {
+            return Ok(ok(r#"{"busy": 0, "slots": 500, "draining": false}"#));
+        }
         let seen = Seen {
             upstream: self.settings.name.to_string(),
             request: Request::from_parts(head, body),
