--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -193,8 +193,12 @@
     /// Answers waiting calls while the limit has room. No borrow is held while answering,
     /// because a call that is gone returns its permit at once.
     fn dispatch(&self) {
+        self.dispatch_at(Instant::now());
+    }
+
+    fn dispatch_at(&self, now: Instant) {
         loop {
-            let next = self.core.borrow_mut().next(Instant::now());
+            let next = self.core.borrow_mut().next(now);
             let Some((reply, decision)) = next else {
                 return;
             };
@@ -203,8 +207,9 @@
     }
 
     fn end(&self, id: u64, own: Duration, end: End) {
-        self.core.borrow_mut().end(id, own, end, Instant::now());
-        self.dispatch();
+        let now = Instant::now();
+        self.core.borrow_mut().end(id, own, end, now);
+        self.dispatch_at(now);
     }
 }
 
--- a/src/coordination/gate/isolation.rs
+++ b/src/coordination/gate/isolation.rs
@@ -76,10 +76,11 @@
         let recent = self.lost.drain(..);
         let recent = recent.filter(|(at, ..)| now < *at + LOST_WINDOW);
         let all: Vec<_> = in_flight.chain(recent.map(|(_, f, s)| (f, s))).collect();
+        let proven = self.proven.recent(now);
         for (request, was_suspect) in &all {
             match was_suspect {
                 true => self.table.convict(*request, now),
-                false if self.proven.contains(request, now) => {}
+                false if proven.contains(request) => {}
                 false => self.table.suspect(*request, now),
             }
         }
@@ -100,7 +101,10 @@
     /// Takes over news; what completed here a moment ago does not become a suspect.
     pub(super) fn learn(&mut self, news: &SuspectNews, now: Instant) {
         let mut news = news.clone();
-        news.suspects.retain(|(f, _)| !self.proven.contains(f, now));
+        if !news.suspects.is_empty() {
+            let proven = self.proven.recent(now);
+            news.suspects.retain(|(f, _)| !proven.contains(f));
+        }
         self.table.learn(&news, now);
     }
 }
--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -47,6 +47,7 @@
     pub(super) upstream: Rc<Upstream>,
     pub(super) listing: Listing,
     pub(super) is_removed: bool,
+    pub(super) is_local: bool,
     in_flight: u32,
     latency: Option<f64>,
     success: f64,
@@ -59,11 +60,12 @@
 }
 
 impl Entry {
-    pub(super) fn new(upstream: Rc<Upstream>, ramp_from: Option<Instant>) -> Self {
+    pub(super) fn new(upstream: Rc<Upstream>, is_local: bool, ramp_from: Option<Instant>) -> Self {
         Self {
             upstream,
             listing: Listing::Unknown,
             is_removed: false,
+            is_local,
             in_flight: 0,
             latency: None,
             success: 1.0,
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -20,6 +20,8 @@
 const DISTRUST: Duration = Duration::from_secs(30);
 /// Interval at which statements that expire are looked at again.
 const REVIEW: Duration = Duration::from_secs(1);
+/// Interval at which the zones are compared; between, all choices use the same comparison.
+const COMPARE: Duration = Duration::from_millis(5);
 /// Calls per slot by which the own zone may exceed the others before calls spill over.
 const SPILL_MARGIN: f64 = 0.1;
 
@@ -34,6 +36,11 @@
     active: Vec<usize>,
     reviewed: Option<Instant>,
     distrusted_until: Option<Instant>,
+    compared: Option<Instant>,
+    /// Lowest latency when last compared.
+    best: f64,
+    /// Whether the own zone was loaded more than the others when last compared.
+    spills: bool,
     examined: u64,
 }
 
@@ -47,6 +54,9 @@
             active: Vec::new(),
             reviewed: None,
             distrusted_until: None,
+            compared: None,
+            best: f64::INFINITY,
+            spills: false,
             examined: 0,
         }
     }
@@ -63,9 +73,13 @@
                 Ok(at) => {
                     let mut entry = known.remove(at);
                     entry.upstream = Rc::new(upstream.clone());
+                    entry.is_local = upstream.zone == self.zone;
                     entry
                 }
-                Err(_) => Entry::new(Rc::new(upstream.clone()), ramp_from),
+                Err(_) => {
+                    let is_local = upstream.zone == self.zone;
+                    Entry::new(Rc::new(upstream.clone()), is_local, ramp_from)
+                }
             };
             self.entries.push(entry);
         }
@@ -86,8 +100,11 @@
             self.review(now);
         }
         let candidates = self.candidates(priority, tried, now);
-        let best = self.best_latency();
-        let at = match *self.spread(&candidates, best, now) {
+        if self.compared.is_none_or(|at| now >= at + COMPARE) {
+            self.compare(&candidates, now);
+        }
+        let best = self.best;
+        let at = match *self.spread(&candidates) {
             [] => return None,
             [only] => only,
             ref some => {
@@ -205,30 +222,39 @@
             if is_tried || honours && entry.is_ejected(now) {
                 continue;
             }
-            let is_local = entry.upstream.zone == self.zone;
-            all.push(at, is_local);
+            all.push(at, entry.is_local);
             if entry.admits(priority, now) {
-                admitting.push(at, is_local);
+                admitting.push(at, entry.is_local);
             }
         }
         if admitting.len == 0 { all } else { admitting }
     }
 
     /// The candidates of the own zone, or all when that zone is loaded more than the others.
-    fn spread<'a>(&self, candidates: &'a Candidates, best: f64, now: Instant) -> &'a [usize] {
+    fn spread<'a>(&self, candidates: &'a Candidates) -> &'a [usize] {
+        match candidates.local() {
+            [] => candidates.all(),
+            _ if self.spills => candidates.all(),
+            local => local,
+        }
+    }
+
+    /// Compares the load per slot of the own zone with that of the others.
+    fn compare(&mut self, candidates: &Candidates, now: Instant) {
+        self.compared = Some(now);
+        let known = self
+            .active
+            .iter()
+            .filter_map(|at| self.entries[*at].latency());
+        self.best = known.fold(f64::INFINITY, f64::min);
         let load = |some: &[usize]| {
             let entries = || some.iter().map(|at| &self.entries[*at]);
-            let weight: f64 = entries().map(|e| e.weight(best, now)).sum();
+            let weight: f64 = entries().map(|e| e.weight(self.best, now)).sum();
             entries().map(|e| e.load(now)).sum::<f64>() / weight
         };
-        let (local, others) = (candidates.local(), candidates.others());
-        if local.is_empty() || others.is_empty() {
-            return candidates.all();
-        }
-        match load(local) > load(others) + SPILL_MARGIN {
-            true => candidates.all(),
-            false => local,
-        }
+        // Without others the second load is not a number and nothing spills.
+        let (local, others) = (load(candidates.local()), load(candidates.others()));
+        self.spills = local > others + SPILL_MARGIN;
     }
 
     fn score(&self, at: usize, best: f64, now: Instant) -> f64 {
@@ -236,14 +262,6 @@
         (entry.load(now) + 1.0) / entry.weight(best, now)
     }
 
-    fn best_latency(&self) -> f64 {
-        let known = self
-            .active
-            .iter()
-            .filter_map(|at| self.entries[*at].latency());
-        known.fold(f64::INFINITY, f64::min)
-    }
-
     /// Looks again at which upstreams are removed.
     fn review(&mut self, now: Instant) {
         self.reviewed = Some(now);
