Isolate restarted nodes in the revert runs

Cause: a trial that skipped the empty start rule passed the revert runs, because a peer was always asked before the configuration service. Change: a third of the restarts leave the node with a stale configuration service and at most one peer.

--- a/tests/revert.rs
+++ b/tests/revert.rs
@@ -90,6 +90,9 @@
         if least == Revision::default() {
             return;
         }
+        if self.rng.u8(..3) == 0 {
+            self.isolate(at);
+        }
         self.paused.remove(&at);
         self.planes.crash(at);
         self.planes.start(at);
@@ -97,6 +100,17 @@
         self.restarts.push((at, run, least));
     }
 
+    /// Leaves a node with the configuration service, which is stale, and at most one peer.
+    fn isolate(&mut self, at: usize) {
+        let old = self.rng.usize(..self.old.len());
+        self.planes.configuration.revert(self.old[old].clone());
+        let spared = self.rng.usize(..NODES);
+        for other in (0..NODES).filter(|n| *n != at && *n != spared) {
+            let (a, b) = (Place::Host(self.host(at)), Place::Host(self.host(other)));
+            self.planes.network.cut_both(a, b);
+        }
+    }
+
     fn check(&self) {
         let seed = self.seed;
         for (at, node) in self.planes.nodes.iter().enumerate() {
