--- a/src/commands/error.rs
+++ b/src/commands/error.rs
@@ -3,6 +3,8 @@
 use miette::Diagnostic;
 use thiserror::Error;
 
+use super::report::{self, Together};
+
 /// Exit code of a run that found faults or could not do its work.
 const FAULTS: u8 = 1;
 /// Exit code of a command line that could not be understood.
@@ -18,6 +20,10 @@
     /// Faults were found and have been reported.
     #[error("faults were found")]
     Faults,
+    /// Settings have faults.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(Box<Together>),
     /// A file or folder could not be read.
     #[error("could not read {}", path.display())]
     #[diagnostic(code(read))]
@@ -57,6 +63,19 @@
         /// The revision that it holds.
         held: u64,
     },
+    /// A file is not an experiment.
+    #[error("could not read experiment {}: {reason}", path.display())]
+    #[diagnostic(code(script))]
+    Script {
+        /// The file.
+        path: PathBuf,
+        /// What the decoder reported.
+        reason: String,
+    },
+    /// An experiment could not be run.
+    #[error("could not run the experiment: {0}")]
+    #[diagnostic(code(experiment))]
+    Experiment(String),
     /// A name that no object has.
     #[error("could not find an object named {name:?}")]
     #[diagnostic(code(name))]
@@ -89,6 +108,6 @@
         Error::Usage(_) => USAGE,
         _ => FAULTS,
     };
-    eprintln!("{:?}", miette::Report::new(error));
+    eprint!("{}", report::diagnostic(&error, report::is_terminal()));
     ExitCode::from(code)
 }
