Add the node and dump command lines, log lines and metrics

The request path had no process to run in, and its dump could only be read as JSON of one node.

comfreybay-node reads the settings, logs key=value or JSON lines, sends metrics over UDP every 10 s, and turns SIGTERM and SIGINT into the stop token. comfreybay-dump asks many nodes at once and shows tables; why shows what each node did with one request.

Before: no node process.

--- /dev/null
+++ b/src/commands/dump/show.rs
@@ -0,0 +1,221 @@
+//! Documents of nodes as tables.
+
+use std::{fmt::Write, net::SocketAddr};
+
+use serde_json::{Map, Value};
+
+use super::{Answer, table::Table};
+use crate::state::{
+    counters::{Counter, Sort},
+    journal::{Event, Step},
+    priority::Level,
+};
+
+/// Decisions shown of each node; all 100 are in the JSON form.
+const DECISIONS_SHOWN: usize = 10;
+/// Lists that have tables of their own.
+const OWN_TABLES: [&str; 1] = ["decisions"];
+
+/// The dumps of several nodes as tables: nodes, counters, other lists, decisions.
+pub fn dumps(answers: &[Answer]) -> String {
+    let known: Vec<_> = answers
+        .iter()
+        .filter_map(|(_, answer)| answer.as_ref().ok())
+        .collect();
+    let mut out = String::new();
+    nodes(answers).write(&mut out);
+    for (address, answer) in answers {
+        if let Err(error) = answer {
+            // Writing to a string does not fail.
+            let _ = writeln!(out, "  {address}  unreachable: {error}");
+        }
+    }
+    counters(&known).write(&mut out);
+    for node in &known {
+        lists(node, &mut out);
+    }
+    for node in &known {
+        decisions(node).write(&mut out);
+    }
+    out
+}
+
+/// A value as one cell, without quotes.
+fn cell(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => "-".to_owned(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+fn level(value: Option<&Value>) -> String {
+    match value.and_then(Value::as_u64) {
+        Some(level) if level == u64::from(Level::OPEN.0) => "open".to_owned(),
+        // The upper 8 bits of a priority are the importance of the class.
+        Some(level) => format!("{level} (importance {})", level >> 24),
+        None => "-".to_owned(),
+    }
+}
+
+fn nodes(answers: &[Answer]) -> Table {
+    let heads = [
+        "address", "upstream", "service", "zone", "state", "revision", "load", "level", "server",
+        "calls",
+    ];
+    let mut table = Table::new("nodes (load: in flight/limit/queued)", heads);
+    for (address, answer) in answers {
+        let Ok(dump) = answer else { continue };
+        let server = match dump.pointer("/server/down") {
+            Some(Value::Bool(true)) => "down".to_owned(),
+            Some(Value::Bool(false)) => {
+                format!("{} connections", cell(dump.pointer("/server/connections")))
+            }
+            _ => "-".to_owned(),
+        };
+        table.row(vec![
+            address.to_string(),
+            cell(dump.get("name")),
+            cell(dump.get("service")),
+            cell(dump.get("zone")),
+            cell(dump.get("state")),
+            cell(dump.get("revision")),
+            cell(dump.pointer("/gate/load")),
+            level(dump.pointer("/gate/level")),
+            server,
+            cell(dump.get("calls")),
+        ]);
+    }
+    table
+}
+
+/// Counters that are not zero at every node: the sum of totals, and the least and most of each.
+fn counters(dumps: &[&Value]) -> Table {
+    let heads = ["counter", "unit", "sum", "least", "most", "most at"];
+    let mut table = Table::new("counters and gauges (zero ones left out)", heads);
+    for counter in Counter::ALL {
+        let value = |dump: &&&Value| {
+            let value = dump.get("counters")?.get(counter.name())?.as_u64()?;
+            Some((value, cell(dump.get("name"))))
+        };
+        let values: Vec<_> = dumps.iter().filter_map(|d| value(&d)).collect();
+        // The first node with the greatest value, so that the output does not vary.
+        let most = values.iter().rev().max_by_key(|(v, _)| *v);
+        let Some((most, at)) = most.filter(|(v, _)| *v > 0) else {
+            continue;
+        };
+        let least = values.iter().map(|(v, _)| *v).min().unwrap_or(0);
+        let sum: u128 = values.iter().map(|(v, _)| u128::from(*v)).sum();
+        let sum = match counter.sort() {
+            Sort::Total => sum.to_string(),
+            Sort::Gauge => "-".to_owned(),
+        };
+        table.row(vec![
+            counter.to_string(),
+            counter.unit().to_owned(),
+            sum,
+            least.to_string(),
+            most.to_string(),
+            at.clone(),
+        ]);
+    }
+    table
+}
+
+/// Every other list of objects, such as peers or upstreams, as a table with a column a key.
+fn lists(dump: &Value, out: &mut String) {
+    let empty = Map::new();
+    for (key, value) in dump.as_object().unwrap_or(&empty) {
+        let rows = value.as_array().map_or(&[][..], Vec::as_slice);
+        let Some(first) = rows.first().and_then(Value::as_object) else {
+            continue;
+        };
+        if OWN_TABLES.contains(&key.as_str()) {
+            continue;
+        }
+        let heads: Vec<_> = first.keys().map(String::as_str).collect();
+        let title = format!("{key} of {}", cell(dump.get("name")));
+        let mut table = Table::new(&title, heads.iter().copied());
+        for row in rows {
+            table.row(heads.iter().map(|h| cell(row.get(*h))).collect());
+        }
+        table.write(out);
+    }
+}
+
+fn decisions(dump: &Value) -> Table {
+    let name = cell(dump.get("name"));
+    let all = dump.get("decisions").and_then(Value::as_array);
+    let all = all.map_or(&[][..], Vec::as_slice);
+    let shown = &all[all.len().saturating_sub(DECISIONS_SHOWN)..];
+    let title = format!(
+        "last {} of {} decisions of {name} (time since its start)",
+        shown.len(),
+        all.len()
+    );
+    let mut table = Table::new(&title, ["at", "change", "subject", "cause"]);
+    for decision in shown {
+        let at_ms = decision.get("at_ms").and_then(Value::as_u64).unwrap_or(0);
+        table.row(vec![
+            format!("{}.{:03} s", at_ms / 1_000, at_ms % 1_000),
+            cell(decision.get("change")),
+            cell(decision.get("subject")),
+            cell(decision.get("cause")),
+        ]);
+    }
+    table
+}
+
+/// What is known of a request at one node: its dump, and the events or why there are none.
+pub type Known = (SocketAddr, Option<Value>, Result<Vec<Event>, String>);
+
+/// What happened to a request at each node, the first node of the chain first.
+pub fn events(known: &[Known]) -> String {
+    let mut order: Vec<_> = known.iter().collect();
+    order.sort_by_key(|(.., events)| events.as_ref().map_or(3, |e| place(e)));
+    let mut out = String::new();
+    for (address, dump, events) in order {
+        let field = |key| cell(dump.as_ref().and_then(|d| d.get(key)));
+        let node = format!(
+            "{} ({}, {}) at {address}",
+            field("name"),
+            field("service"),
+            field("zone")
+        );
+        // Writing to a string does not fail.
+        let events = match events {
+            Ok(events) => events,
+            Err(error) => {
+                let _ = writeln!(out, "{node}: {error}");
+                continue;
+            }
+        };
+        let _ = writeln!(out, "{node}:");
+        let start = events.first().map_or(0, |e| e.at_us);
+        for event in events {
+            let since = event.at_us.saturating_sub(start);
+            let _ = writeln!(
+                out,
+                "  +{:>4}.{:03} ms  {}",
+                since / 1_000,
+                since % 1_000,
+                event.step
+            );
+        }
+    }
+    out
+}
+
+/// Position of a node on the chain, as far as its events tell it.
+fn place(events: &[Event]) -> u8 {
+    let at = |wanted: &str| {
+        let arrived =
+            |e: &Event| matches!(&e.step, Step::Arrived { listener, .. } if listener == wanted);
+        events.iter().any(arrived)
+    };
+    match (at("public"), at("egress")) {
+        (true, _) => 0,
+        (false, true) => 1,
+        (false, false) => 2,
+    }
+}
--- a/src/commands/error.rs
+++ b/src/commands/error.rs
@@ -1,9 +1,10 @@
-use std::{io, path::PathBuf, process::ExitCode};
+use std::{io, net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use miette::Diagnostic;
 use thiserror::Error;
 
 use super::report::{self, Together};
+use crate::{state::id::RootId, transport::node};
 
 /// Exit code of a run that found faults or could not do its work.
 const FAULTS: u8 = 1;
@@ -63,6 +64,37 @@
         /// The revision that it holds.
         held: u64,
     },
+    /// Logging could not be started.
+    #[error("could not start logging")]
+    #[diagnostic(code(log))]
+    Log,
+    /// No socket for metrics.
+    #[error("could not open a socket for metrics to {to}")]
+    #[diagnostic(code(metrics))]
+    Metrics {
+        /// Where metrics are sent.
+        to: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The runtime or the signal handlers could not be started.
+    #[error("could not start the runtime")]
+    #[diagnostic(code(runtime))]
+    Runtime(#[source] io::Error),
+    /// The node could not be started.
+    #[error("could not run the node")]
+    #[diagnostic(code(node))]
+    Node(#[from] node::Error),
+    /// No node knows a request.
+    #[error("could not find request {root} at any of the nodes asked")]
+    #[diagnostic(
+        code(request),
+        help("a node keeps only its most recent requests; ask the nodes of the whole chain")
+    )]
+    Request {
+        /// The request.
+        root: RootId,
+    },
     /// A name that no object has.
     #[error("could not find an object named {name:?}")]
     #[diagnostic(code(name))]
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,7 +1,11 @@
 //! The command lines: one file for each command.
 
 pub mod check;
+pub mod dump;
 mod error;
+pub mod log;
+pub mod metrics;
+pub mod node;
 pub mod report;
 pub mod settings;
 pub mod yaml;
