--- a/src/state/store.rs
+++ b/src/state/store.rs
@@ -7,7 +7,6 @@
 };
 
 use bytes::Bytes;
-use tokio::sync::watch;
 
 use super::{
     config::Config,
