--- a/src/state/store.rs
+++ b/src/state/store.rs
@@ -12,6 +12,7 @@
     config::Config,
     id::{Digest, Revision},
     publication::{Publication, encode},
+    watch,
 };
 
 /// Encoded parts of a publication, by digest.
--- a/src/state/watch.rs
+++ b/src/state/watch.rs
@@ -112,6 +112,11 @@
         self.seen = self.shared.version.get().wrapping_sub(1);
     }
 
+    /// Makes the current value seen.
+    pub fn mark_unchanged(&mut self) {
+        self.seen = self.shared.version.get();
+    }
+
     /// Whether there is a value that has not been seen.
     ///
     /// # Errors
--- a/src/transport/control/share.rs
+++ b/src/transport/control/share.rs
@@ -30,6 +30,7 @@
         settings::Settings,
         store::{ConfigStore, Offered},
         view::{NodeState, PeerView},
+        watch,
     },
     transport::net::Net,
 };
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -53,20 +53,29 @@
         parts.counters.add(Counter::PeerCalls, 1);
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
+        let ticket: Option<Ticket> = read(&head.headers, header::TICKET).ok().flatten();
+        // A ticket that can't be looked up may have been presented before.
+        let refuse = |reply: Reply, why: &str| match ticket {
+            Some(_) => Reply::unknown(why.to_owned()),
+            None => reply,
+        };
         let call = match CallHead::read(&head.headers) {
             Ok(call) => call,
             Err(error) => {
                 parts.counters.add(Counter::MessagesRefused, 1);
-                let reply = Reply::not_run(0, error.to_string(), Duration::ZERO);
-                return to_peer(parts, None, reply.with_status(StatusCode::BAD_REQUEST));
+                let why = error.to_string();
+                let reply = Reply::not_run(0, why.clone(), Duration::ZERO);
+                let reply = refuse(reply.with_status(StatusCode::BAD_REQUEST), &why);
+                return to_peer(parts, None, reply);
             }
         };
-        let ticket: Option<Ticket> = read(&head.headers, header::TICKET).ok().flatten();
         let message = match Message::read(head, body).await {
             Ok(message) => message,
             Err(error) => {
-                let reply = Reply::not_run(call.allowance, error.to_string(), Duration::ZERO);
-                return to_peer(parts, None, reply.with_status(error.status()));
+                let why = error.to_string();
+                let reply = Reply::not_run(call.allowance, why.clone(), Duration::ZERO);
+                let reply = refuse(reply.with_status(error.status()), &why);
+                return to_peer(parts, None, reply);
             }
         };
         let mut watch = parts.watch(call.root);
@@ -92,7 +101,10 @@
             .and_then(|c| c.class(&call.class).cloned());
         let Some(class) = class else {
             parts.counters.add(Counter::RefusedNoConfig, 1);
-            return Reply::not_run(call.allowance, "no-config", parts.pause());
+            return match ticket {
+                Some(_) => Reply::unknown("no-config"),
+                None => Reply::not_run(call.allowance, "no-config", parts.pause()),
+            };
         };
         parts.note(
             call.root,
--- a/src/transport/public.rs
+++ b/src/transport/public.rs
@@ -86,11 +86,19 @@
         let parts = &self.0.parts;
         let (head, body) = request.into_parts();
         let timeout = caller_timeout(&head.headers);
+        let ticket: Option<Ticket> = read(&head.headers, header::IDEMPOTENCY_KEY).ok().flatten();
+        // Only the issuer of a ticket can tell that its request did not run, as it may have been
+        // presented before.
+        let refuse = |reply: Reply, why: &str| match ticket {
+            Some(_) => Reply::unknown(why.to_owned()),
+            None => reply,
+        };
         let message = match Message::read(head, body).await {
             Ok(message) => message,
             Err(error) => {
-                let reply = Reply::not_run(0, error.to_string(), Duration::ZERO);
-                let mut reply = reply.with_status(error.status());
+                let why = error.to_string();
+                let reply = Reply::not_run(0, why.clone(), Duration::ZERO);
+                let mut reply = refuse(reply.with_status(error.status()), &why);
                 // What follows on the connection can't be told from the rest of the request.
                 reply
                     .headers
@@ -100,14 +108,15 @@
         };
         let Some(config) = parts.store.config() else {
             parts.counters.add(Counter::RefusedNoConfig, 1);
-            return Reply::not_run(0, "no-config", parts.pause());
+            let reply = Reply::not_run(0, "no-config", parts.pause());
+            return refuse(reply, "no-config");
         };
         let service = &parts.settings.service;
         let (method, path) = (message.method.as_str(), message.target.path());
         let Some((chain, class)) = config.classify(service, method, path) else {
             parts.counters.add(Counter::RefusedNoRoute, 1);
             let reply = Reply::not_run(0, "no-chain", Duration::ZERO);
-            return reply.with_status(StatusCode::NOT_FOUND);
+            return refuse(reply.with_status(StatusCode::NOT_FOUND), "no-chain");
         };
         let span = timeout.map_or(class.deadline(), |t| t.min(class.deadline()));
         let asked = Asked {
@@ -115,9 +124,7 @@
             class: class.clone(),
             deadline: arrived + span,
             caller: caller(&message, from.ip()),
-            ticket: read(&message.headers, header::IDEMPOTENCY_KEY)
-                .ok()
-                .flatten(),
+            ticket,
         };
         self.enter(root, asked, message).await
     }
--- /dev/null
+++ b/tests/audit.rs
@@ -0,0 +1,133 @@
+//! Guards the checks of experiments against passing whatever happened.
+
+use std::future::Future;
+
+use comfreybay::{
+    standin::{
+        audit::Audit,
+        ledger::{End, Ledger},
+        tally::{Attempt, Tally, Told},
+    },
+    state::{
+        id::{ServiceName, UpstreamName},
+        object::Class,
+    },
+};
+use tokio::time::Instant;
+
+struct Case {
+    tally: Tally,
+    ledger: Ledger,
+}
+
+fn class(name: &str, repeatable: bool) -> Class {
+    Class {
+        name: name.parse().expect("valid name"),
+        owner: "o".parse().expect("valid name"),
+        importance: 0,
+        important: false,
+        repeatable,
+        deadline_ms: 1_000,
+        retries: 1,
+    }
+}
+
+fn paused<F: Future>(main: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .expect("runtime");
+    runtime.block_on(main)
+}
+
+impl Case {
+    fn new() -> Self {
+        let classes = [class("many", true), class("once", false)];
+        Self {
+            tally: Tally::new(&classes),
+            ledger: Ledger::default(),
+        }
+    }
+
+    fn told(&self, id: u64, request: u64, class: usize, told: Told) {
+        self.tally.attempt(Attempt {
+            id,
+            request,
+            class,
+            told,
+            sent: Instant::now(),
+            ended: Instant::now(),
+            node: None,
+            why: None,
+        });
+    }
+
+    fn ran(&self, id: u64, end: End) {
+        let service: ServiceName = "s".parse().expect("valid name");
+        let upstream: UpstreamName = "s-1".parse().expect("valid name");
+        self.ledger.begin(id, &service, &upstream).end(end);
+    }
+
+    fn audit(&self) -> Audit {
+        let service: ServiceName = "s".parse().expect("valid name");
+        Audit::new(&self.tally, &self.ledger, &service)
+    }
+}
+
+/// Guards against an audit that reports violations where there are none.
+#[test]
+fn correct_runs_pass() {
+    paused(async {
+        let case = Case::new();
+        case.told(1, 1, 0, Told::Complete);
+        case.ran(1, End::Answered);
+        case.told(2, 2, 1, Told::NotRun);
+        case.told(3, 2, 1, Told::Complete);
+        case.ran(3, End::Answered);
+        assert_eq!(case.audit().violations(), 0);
+    });
+}
+
+/// Guards against an audit that overlooks a request told as not run that ran.
+#[test]
+fn false_refusal_is_found() {
+    paused(async {
+        let case = Case::new();
+        case.told(1, 1, 0, Told::NotRun);
+        case.ran(1, End::Cancelled);
+        assert_eq!(case.audit().false_refusals, 1);
+    });
+}
+
+/// Guards against an audit that overlooks a second run, under one ticket or two.
+#[test]
+fn duplicate_is_found() {
+    paused(async {
+        let case = Case::new();
+        case.told(1, 1, 1, Told::Unknown);
+        case.told(2, 1, 1, Told::Complete);
+        case.ran(1, End::Answered);
+        case.ran(2, End::Answered);
+        case.told(9, 2, 1, Told::Complete);
+        case.ran(9, End::Answered);
+        case.ran(9, End::Answered);
+        assert_eq!(case.audit().duplicates, 2);
+    });
+}
+
+/// Guards against an audit that overlooks wrong and invented answers and too many executions.
+#[test]
+fn other_violations_are_found() {
+    paused(async {
+        let case = Case::new();
+        case.told(1, 1, 0, Told::Wrong);
+        case.ran(1, End::Answered);
+        case.told(2, 2, 0, Told::Complete);
+        case.ran(2, End::Cancelled);
+        case.told(3, 3, 0, Told::Complete);
+        (0..3).for_each(|_| case.ran(3, End::Answered));
+        let audit = case.audit();
+        assert_eq!((audit.wrong, audit.invented, audit.excess), (1, 1, 1));
+    });
+}
