--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -21,5 +21,6 @@
 pub mod ticket;
 pub mod upstream;
 pub mod view;
+pub mod watch;
 
 pub use error::{Error, Result};
--- a/src/transport/control/share.rs
+++ b/src/transport/control/share.rs
@@ -7,13 +7,13 @@
     time::Duration,
 };
 
-use tokio::{sync::watch, time::Instant};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::Control;
 use crate::{
     coordination::{
-        follow::{Assembly, Follower},
+        follow::{Assembly, FollowError, Follower},
         gate::{Gate, GateState},
         leave::Leave,
         membership::{ACCEPTED_MAX, Readers, zone_size},
@@ -30,6 +30,7 @@
         settings::Settings,
         store::{ConfigStore, Offered},
         view::{NodeState, PeerView},
+        watch,
     },
     transport::net::Net,
 };
@@ -220,16 +221,19 @@
     }
 
     /// Puts an assembled configuration in effect, if it may be.
-    pub fn accept(&self, assembly: Assembly, noticed: Instant) -> Offered {
+    ///
+    /// # Errors
+    /// Its pieces do not form a valid set.
+    pub fn accept(&self, assembly: Assembly, noticed: Instant) -> Result<Offered, FollowError> {
         let (revision, digest) = (assembly.revision(), assembly.digest());
-        let offered = self.follower.accept(assembly);
+        let offered = self.follower.accept(assembly)?;
         match offered {
             Offered::Accepted => self.accepted(revision, noticed),
             Offered::Older => self.counters.add(Counter::ConfigOlder, 1),
             Offered::Conflict => self.conflict(revision, digest, "a source".into()),
             Offered::Same => {}
         }
-        offered
+        Ok(offered)
     }
 
     /// Makes a configuration that the store has just taken known to the rest of the node.
