--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod commands;
 pub mod coordination;
 pub mod protocol;
+pub mod standin;
 pub mod state;
 pub mod transport;
