Admit more at small services under a level

Cause: at 20 slots the admitted share fell to the completion rate, where the scatter of arrivals leaves slots idle. Change: the share stays above the completion rate by the root of the number of completions seen.

--- a/src/state/level/meter.rs
+++ b/src/state/level/meter.rs
@@ -13,7 +13,6 @@
 const DECAY: f32 = 0.6;
 /// Admitted share of the completion rate; above 1 so that the server is kept busy.
 const SHARE_START: f32 = 1.1;
-const SHARE_MIN: f32 = 1.0;
 const SHARE_MAX: f32 = 2.0;
 /// Share of admissions without a wait above which the server is not kept busy. At 0.2, a server
 /// of 20 slots or more is idle for less than 4% of its time.
@@ -146,7 +145,9 @@
             true if window.late => SHARE_FALL,
             true => 1.0,
         };
-        self.share = (self.share * factor).clamp(SHARE_MIN, SHARE_MAX);
+        // Arrivals scatter by the root of their number, which matters at few slots.
+        let least = 1.0 + 1.0 / self.completions.max(1.0).sqrt();
+        self.share = (self.share * factor).clamp(least, SHARE_MAX);
     }
 
     /// The level that lets in `more` requests, if those above arrive as densely as those below.
