Test recovery from a slow deep service with hard retries

Cause: recovery after a disturbance was tested for one gate only. Change: tests/chain.rs also slows the deep service five times for 10 s at twice the demand, with callers that send each refused request three more times.

--- a/tests/chain.rs
+++ b/tests/chain.rs
@@ -12,6 +12,7 @@
     },
     state::{
         config::Config,
+        held::HeldTable,
         id::{Digest, Fingerprint, Revision, RootId, ServiceName},
         level::Levels,
         limit::End,
@@ -45,7 +46,20 @@
     important_refused: u32,
 }
 
+/// What happens between the warm phase and the end.
+#[derive(Debug, Clone, Copy)]
+struct Disturbance {
+    /// Demand as a multiple of the deep service's normal capacity.
+    demand: f64,
+    /// Factor on the deep service's own time.
+    slowdown: f64,
+    /// Times that a caller sends a refused request again.
+    resends: u32,
+}
+
 struct Chain {
+    disturbance: Disturbance,
+    held: RefCell<HeldTable>,
     entry: Gate,
     deep: Gate,
     router: Router,
@@ -56,7 +70,7 @@
 }
 
 impl Chain {
-    fn new(favour: Favour, seed: u64) -> Self {
+    fn new(favour: Favour, disturbance: Disturbance, seed: u64) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let own = "a-0".parse().expect("valid name");
         let zone = "z".parse().expect("valid name");
@@ -82,6 +96,8 @@
         };
         let gate = |slots, rng| Gate::new(slots, favour, Control::Adaptive, rng);
         let chain = Self {
+            disturbance,
+            held: RefCell::default(),
             entry: gate(4 * DEEP_SLOTS, rng.fork()),
             deep: gate(DEEP_SLOTS, rng.fork()),
             router,
@@ -111,7 +127,13 @@
         let admitted = self.deep.admit(ask).await;
         let done = match admitted {
             Ok(permit) => {
-                let own = self.run(DEEP_OWN).await;
+                let is_slow = (0.0..OVERLOAD_S).contains(&self.phase());
+                let factor = if is_slow {
+                    self.disturbance.slowdown
+                } else {
+                    1.0
+                };
+                let own = self.run(DEEP_OWN.mul_f64(factor)).await;
                 permit.finish(own, End::Answered);
                 true
             }
@@ -148,21 +170,42 @@
         done
     }
 
+    fn ask(&self, important: bool) -> Ask {
+        let mut rng = self.rng.borrow_mut();
+        let importance = if important { 0 } else { rng.u8(2..5) };
+        Ask {
+            priority: Priority::new(importance, false, RootId::random(&mut rng)),
+            class: format!("c{importance}").parse().expect("valid name"),
+            important,
+            deadline: Instant::now() + DEADLINE,
+            span: DEADLINE,
+            fingerprint: Fingerprint(rng.u128(..).to_be_bytes()),
+        }
+    }
+
+    /// One request of a caller that sends again after a refusal, without regard to `Retry-After`.
     async fn request(self: Rc<Self>, important: bool) {
         let sent = self.phase();
-        let ask = {
-            let mut rng = self.rng.borrow_mut();
-            let importance = if important { 0 } else { rng.u8(2..5) };
-            Ask {
-                priority: Priority::new(importance, false, RootId::random(&mut rng)),
-                class: format!("c{importance}").parse().expect("valid name"),
-                important,
-                deadline: Instant::now() + DEADLINE,
-                span: DEADLINE,
-                fingerprint: Fingerprint(rng.u128(..).to_be_bytes()),
+        let mut done = false;
+        let first = self.ask(important);
+        for _ in 0..=self.disturbance.resends {
+            let now = Instant::now();
+            let held = self.held.borrow().is_held(&first.fingerprint, now);
+            let root = RootId::random(&mut self.rng.borrow_mut());
+            let mut ask = first.clone();
+            ask.priority = Priority::new(first.priority.importance(), held, root);
+            ask.deadline = now + DEADLINE;
+            done = self.serve(ask).await;
+            if done {
+                break;
             }
-        };
-        let done = self.serve(ask).await;
+            let now = Instant::now();
+            let until = now + Duration::from_millis(500);
+            self.held
+                .borrow_mut()
+                .refused(first.fingerprint, until, now);
+            sleep(Duration::from_millis(100)).await;
+        }
         let mut counts = self.counts.borrow_mut();
         if (0.0..OVERLOAD_S).contains(&self.phase()) {
             counts.good += u32::from(done);
@@ -189,7 +232,7 @@
     }
 }
 
-fn run(favour: Favour, demand: f64, seed: u64) -> (f64, Counts) {
+fn run(favour: Favour, disturbance: Disturbance, seed: u64) -> (f64, Counts) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
@@ -197,7 +240,7 @@
         .expect("a runtime without I/O");
     let capacity = f64::from(DEEP_SLOTS) / DEEP_OWN.as_secs_f64();
     let counts = LocalSet::new().block_on(&runtime, async move {
-        let chain = Rc::new(Chain::new(favour, seed));
+        let chain = Rc::new(Chain::new(favour, disturbance, seed));
         let ticked = chain.clone();
         tokio::task::spawn_local(async move {
             let mut ticks = interval(Duration::from_millis(100));
@@ -208,11 +251,17 @@
             }
         });
         let overload = |s| (0.0..OVERLOAD_S).contains(&s);
-        let rate = move |s| if overload(s) { demand - IMPORTANT } else { 0.3 };
+        let rate = move |s| {
+            if overload(s) {
+                disturbance.demand - IMPORTANT
+            } else {
+                0.3
+            }
+        };
         let important = chain.clone().arrivals(true, move |_| IMPORTANT * capacity);
         let ordinary = chain.clone().arrivals(false, move |s| rate(s) * capacity);
         tokio::join!(important, ordinary);
-        sleep(DEADLINE).await;
+        sleep(4 * DEADLINE).await;
         *chain.counts.borrow()
     });
     (f64::from(counts.good) / (capacity * OVERLOAD_S), counts)
@@ -223,7 +272,12 @@
     for favour in [Favour::Goodput, Favour::Recovery] {
         for (demand, least) in [(2.0, 0.95), (5.0, 0.93), (10.0, 0.90)] {
             for seed in 0..3 {
-                let (share, counts) = run(favour, demand, seed);
+                let overload = Disturbance {
+                    demand,
+                    slowdown: 1.0,
+                    resends: 0,
+                };
+                let (share, counts) = run(favour, overload, seed);
                 let wasted = f64::from(counts.refused_deep) / f64::from(counts.entered);
                 let after = f64::from(counts.good_after) / f64::from(counts.sent_after);
                 let case = format!(
@@ -241,3 +295,25 @@
         }
     }
 }
+
+/// Guards against overload that outlasts its cause: a deep service five times slower, twice the
+/// demand, and callers that send each refused request three more times.
+#[test]
+fn chain_recovers_in_a_second_from_a_slow_deep_service() {
+    for favour in [Favour::Goodput, Favour::Recovery] {
+        for seed in 0..3 {
+            let disturbance = Disturbance {
+                demand: 2.0,
+                slowdown: 5.0,
+                resends: 3,
+            };
+            let (share, counts) = run(favour, disturbance, seed);
+            let after = f64::from(counts.good_after) / f64::from(counts.sent_after);
+            let case = format!(
+                "{favour:?} seed {seed}: goodput {share:.3}, after 1 s {after:.3}, {counts:?}"
+            );
+            println!("slow deep {case}");
+            assert!(after >= 0.99, "{case}");
+        }
+    }
+}
