--- a/src/coordination/gate/isolation.rs
+++ b/src/coordination/gate/isolation.rs
@@ -108,3 +108,6 @@
         self.table.learn(&news, now);
     }
 }
+
+#[cfg(test)]
+mod tests;
