--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,7 +2,11 @@
 
 pub mod bench;
 pub mod check;
+pub mod dump;
 mod error;
+pub mod log;
+pub mod metrics;
+pub mod node;
 pub mod report;
 pub mod settings;
 pub mod yaml;
