--- a/src/state/store.rs
+++ b/src/state/store.rs
@@ -7,12 +7,12 @@
 };
 
 use bytes::Bytes;
-use tokio::sync::watch;
 
 use super::{
     config::Config,
     id::{Digest, Revision},
     publication::{Publication, encode},
+    watch,
 };
 
 /// Encoded parts of a publication, by digest.
--- a/src/transport/control/share.rs
+++ b/src/transport/control/share.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use tokio::{sync::watch, time::Instant};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::Control;
@@ -30,6 +30,7 @@
         settings::Settings,
         store::{ConfigStore, Offered},
         view::{NodeState, PeerView},
+        watch,
     },
     transport::net::Net,
 };
