--- a/src/commands/bench.rs
+++ b/src/commands/bench.rs
@@ -9,6 +9,7 @@
 
 mod live;
 mod run;
+mod slopes;
 mod standins;
 
 const HELP: &str = "\
@@ -17,12 +18,14 @@
 Usage:
   comfreybay-bench DIR [--json]
   comfreybay-bench run FILE [--out DIR] [--seeds N] [--seed N] [--threads N] [--json]
+  comfreybay-bench slopes --out DIR [--nodes N]
   comfreybay-bench standins DIR [--settings DIR] [--demand SHARE]
 
 Commands:
   DIR       runs a slow deep service, a surge and hard retries on loopback, in real time,
             with adaptive control and two baselines; takes less than a minute
   run       runs an experiment in virtual time and checks its bounds
+  slopes    measures how the cost of the control plane grows with the fleet; see slopes --help
   standins  runs the stand-ins alone, for nodes that run as their own processes
 
 Options:
@@ -140,6 +143,10 @@
 
 /// Runs the command line.
 pub fn run(args: Arguments) -> ExitCode {
+    let mut rest = args.clone();
+    if matches!(rest.subcommand(), Ok(Some(command)) if command == "slopes") {
+        return finish(slopes::run(rest));
+    }
     finish(Command::parse(args).and_then(execute))
 }
 
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -18,6 +18,7 @@
 pub mod report;
 pub mod script;
 pub mod server;
+pub mod slopes;
 pub mod sweep;
 pub mod tally;
 pub mod world;
