--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -69,7 +69,7 @@
                 return to_peer(parts, None, reply);
             }
         };
-        let message = match Message::read(head, body).await {
+        let message = match Message::read(head, body, parts).await {
             Ok(message) => message,
             Err(error) => {
                 let why = error.to_string();
