Show node states in the dump and group nodes that do not know a request

With 13 nodes, eleven lines of 'answered 404' hid the two nodes that had served the request, and the state column was empty because the document of the admin listener does not name the state.

The state is taken from the last decision about it; nodes that do not know the request are named in one line.

--- a/src/commands/dump.rs
+++ b/src/commands/dump.rs
@@ -140,10 +140,19 @@
         .collect()
 }
 
+/// The answer of a node that does not know a request.
+fn not_found() -> String {
+    refused(StatusCode::NOT_FOUND)
+}
+
+fn refused(status: StatusCode) -> String {
+    format!("answered {status}")
+}
+
 async fn document(node: SocketAddr, path: &str) -> Result<Value, String> {
     let (status, body) = get(node, path).await.map_err(|e| e.to_string())?;
     if status != StatusCode::OK {
-        return Err(format!("answered {status}"));
+        return Err(refused(status));
     }
     serde_json::from_slice(&body).map_err(|e| format!("could not read the answer: {e}"))
 }
@@ -166,10 +175,12 @@
     let mut known = vec![];
     let mut any = false;
     for ((node, answer), (_, dump)) in found.iter().zip(&names) {
-        let events = answer.clone().and_then(|document| {
-            let events = serde_json::from_value::<Vec<Event>>(document);
-            events.map_err(|e| format!("could not read the answer: {e}"))
-        });
+        let events = match answer {
+            Ok(document) => serde_json::from_value::<Vec<Event>>(document.clone())
+                .map_err(|e| format!("could not read the answer: {e}")),
+            Err(error) if *error == not_found() => Ok(vec![]),
+            Err(error) => Err(error.clone()),
+        };
         any |= events.as_ref().is_ok_and(|e| !e.is_empty());
         known.push((*node, dump.as_ref().ok().cloned(), events));
     }
--- a/src/commands/dump/show.rs
+++ b/src/commands/dump/show.rs
@@ -7,7 +7,7 @@
 use super::{Answer, table::Table};
 use crate::state::{
     counters::{Counter, Sort},
-    journal::{Event, Step},
+    journal::{Change, Event, Step},
     priority::Level,
 };
 
@@ -58,6 +58,15 @@
     }
 }
 
+/// The state of a node, from its last decision about it when the dump does not name it.
+fn state(dump: &Value) -> String {
+    let decisions = dump.get("decisions").and_then(Value::as_array);
+    let mut latest = decisions.into_iter().flatten().rev();
+    let last = latest.find(|d| d.get("change").is_some_and(|c| c == Change::State.as_str()));
+    let stated = dump.get("state").or_else(|| last?.get("subject"));
+    cell(stated).to_lowercase()
+}
+
 fn nodes(answers: &[Answer]) -> Table {
     let heads = [
         "address", "upstream", "service", "zone", "state", "revision", "load", "level", "server",
@@ -78,7 +87,7 @@
             cell(dump.get("name")),
             cell(dump.get("service")),
             cell(dump.get("zone")),
-            cell(dump.get("state")),
+            state(dump),
             cell(dump.get("revision")),
             cell(dump.pointer("/gate/load")),
             level(dump.pointer("/gate/level")),
@@ -166,7 +175,9 @@
     table
 }
 
-/// What is known of a request at one node: its dump, and the events or why there are none.
+/// What is known of a request at one node: its dump, and its events or why there is no answer.
+///
+/// A node that does not know the request has no events.
 pub type Known = (SocketAddr, Option<Value>, Result<Vec<Event>, String>);
 
 /// What happened to a request at each node, the first node of the chain first.
@@ -174,6 +185,7 @@
     let mut order: Vec<_> = known.iter().collect();
     order.sort_by_key(|(.., events)| events.as_ref().map_or(3, |e| place(e)));
     let mut out = String::new();
+    let mut unknown = vec![];
     for (address, dump, events) in order {
         let field = |key| cell(dump.as_ref().and_then(|d| d.get(key)));
         let node = format!(
@@ -190,6 +202,10 @@
                 continue;
             }
         };
+        if events.is_empty() {
+            unknown.push(field("name"));
+            continue;
+        }
         let _ = writeln!(out, "{node}:");
         let start = events.first().map_or(0, |e| e.at_us);
         for event in events {
@@ -203,6 +219,9 @@
             );
         }
     }
+    if !unknown.is_empty() {
+        let _ = writeln!(out, "not known at {}", unknown.join(", "));
+    }
     out
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -350,6 +350,10 @@
         (at(2), Ok(node("bookings-2", 12, 70_000_000))),
         (at(3), Err("no answer within 3000 ms".to_owned())),
         (at(4), Ok(json!({"decisions": 3, "gate": []}))),
+        (
+            at(6),
+            Ok(json!({"decisions": [{"change": "state", "subject": "Leaving"}]})),
+        ),
         (at(5), Ok(json!([1, null]))),
     ];
     insta::assert_snapshot!("dump", dumps(&answers));
@@ -385,7 +389,8 @@
     let dump = |name: &str| Some(json!({"name": name, "service": "bookings", "zone": "timor-a"}));
     let at = |n: u8| SocketAddr::from(([127, 1, 1, n], 7004));
     let known = [
-        (at(3), None, Err("answered 404 Not Found".to_owned())),
+        (at(4), dump("billing-1"), Ok(vec![])),
+        (at(3), None, Err("no answer within 3000 ms".to_owned())),
         (at(2), dump("bookings-2"), Ok(second)),
         (at(1), dump("bookings-1"), Ok(first)),
     ];
