--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,184 @@
+//! Guards the pages for operators and engineers against drifting from the code.
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
+
+use comfreybay::state::counters::{Counter, Sort};
+
+/// The layers; each may import only from those after it.
+const LAYERS: [&str; 6] = [
+    "commands",
+    "standin",
+    "transport",
+    "protocol",
+    "coordination",
+    "state",
+];
+
+fn root() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+}
+
+fn page(name: &str) -> String {
+    fs::read_to_string(root().join("docs").join(name)).expect("the page is readable")
+}
+
+/// Guards against a metric that operators cannot look up, or one with another unit.
+#[test]
+fn every_counter_is_documented() {
+    let page = page("operating.md");
+    let rows: BTreeSet<_> = page.lines().filter(|l| l.starts_with("| `")).collect();
+    let row = |c: &Counter| {
+        let sort = match c.sort() {
+            Sort::Total => "total",
+            Sort::Gauge => "gauge",
+        };
+        format!("| `{}` | {} | {sort} | {} |", c.name(), c.unit(), c.about())
+    };
+    let expected: BTreeSet<_> = Counter::ALL.iter().map(row).collect();
+    let missing: Vec<_> = expected
+        .iter()
+        .filter(|r| !rows.contains(r.as_str()))
+        .collect();
+    assert!(
+        missing.is_empty(),
+        "add to docs/operating.md:\n{missing:#?}"
+    );
+    let stale: Vec<_> = rows.iter().filter(|r| !expected.contains(**r)).collect();
+    assert!(
+        stale.is_empty(),
+        "remove from docs/operating.md:\n{stale:#?}"
+    );
+}
+
+/// Guards against a term of the code that the glossary leaves out.
+#[test]
+fn terms_are_in_the_glossary() {
+    let page = page("glossary.md");
+    let terms = [
+        "upstream",
+        "backend server",
+        "node",
+        "availability zone",
+        "instance",
+        "customer",
+        "service",
+        "class",
+        "chain",
+        "limit",
+        "owner",
+        "deployment",
+        "publication",
+        "head",
+        "bucket",
+        "piece",
+        "revision",
+        "digest",
+        "outcome",
+        "ticket",
+        "incarnation",
+        "allowance",
+        "priority",
+        "level",
+        "gate",
+        "held",
+        "suspect",
+        "convicted",
+        "reader",
+        "peer",
+        "heartbeat",
+        "root request id",
+        "call token",
+        "fingerprint",
+        "goodput",
+    ];
+    for term in terms {
+        assert!(page.contains(&format!("| {term} |")), "no row for {term}");
+    }
+}
+
+fn sources(folder: &Path, files: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).expect("the folder is readable") {
+        let path = entry.expect("the entry is readable").path();
+        if path.is_dir() {
+            sources(&path, files);
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            files.push(path);
+        }
+    }
+}
+
+/// The first names after each `crate::` of a source text.
+fn imports(text: &str) -> BTreeSet<String> {
+    let mut found = BTreeSet::new();
+    for (at, _) in text.match_indices("crate::") {
+        let rest = &text[at + "crate::".len()..];
+        let Some(group) = rest.strip_prefix('{') else {
+            found.insert(word(rest));
+            continue;
+        };
+        let mut depth = 1;
+        let mut item = true;
+        for (n, c) in group.char_indices() {
+            match c {
+                '{' => depth += 1,
+                '}' => depth -= 1,
+                ',' if depth == 1 => item = true,
+                c if item && depth == 1 && c.is_alphabetic() => {
+                    found.insert(word(&group[n..]));
+                    item = false;
+                }
+                _ => {}
+            }
+            if depth == 0 {
+                break;
+            }
+        }
+    }
+    found
+}
+
+fn word(text: &str) -> String {
+    text.chars()
+        .take_while(|c| c.is_alphanumeric() || *c == '_')
+        .collect()
+}
+
+/// Guards against an import from a higher layer, which would tie decisions to I/O.
+#[test]
+fn layers_import_only_from_lower_layers() {
+    let page = page("layers.md");
+    let mut seen = 0;
+    for (position, layer) in LAYERS.iter().enumerate() {
+        let mut files = vec![];
+        sources(&root().join("src").join(layer), &mut files);
+        for file in files {
+            let text = fs::read_to_string(&file).expect("the source is readable");
+            for name in imports(&text) {
+                let Some(other) = LAYERS.iter().position(|l| *l == name) else {
+                    continue;
+                };
+                assert!(other >= position, "{} imports {name}", file.display());
+                seen += 1;
+            }
+        }
+        let below = LAYERS[position + 1..].join(", ");
+        let below = if below.is_empty() { "none" } else { &below };
+        assert!(
+            page.contains(&format!("| `{layer}` | {below} |")),
+            "no row for {layer}"
+        );
+    }
+    assert!(seen > 0, "no import was found");
+}
+
+/// Guards against a reader of imports that overlooks one.
+#[test]
+fn imports_are_found() {
+    let text = "use crate::state::id; use crate::{\n  commands::{check, yaml},\n  state,\n};";
+    let found: Vec<_> = imports(text).into_iter().collect();
+    assert_eq!(found, ["commands", "state"]);
+}
