--- a/src/transport/public.rs
+++ b/src/transport/public.rs
@@ -86,11 +86,28 @@
         let parts = &self.0.parts;
         let (head, body) = request.into_parts();
         let timeout = caller_timeout(&head.headers);
-        let message = match Message::read(head, body).await {
+        if head.headers.get_all(header::IDEMPOTENCY_KEY).iter().count() > 1 {
+            let reply = Reply::unknown("several-keys");
+            return reply.with_status(StatusCode::BAD_REQUEST);
+        }
+        let ticket: Option<Ticket> = read(&head.headers, header::IDEMPOTENCY_KEY).ok().flatten();
+        // Only the issuer of a ticket can tell that its request did not run, as it may have been
+        // presented before.
+        let refuse = |reply: Reply, why: &str| match ticket {
+            Some(_) => Reply::unknown(why.to_owned()),
+            None => reply,
+        };
+        let message = match Message::read(head, body, parts).await {
             Ok(message) => message,
             Err(error) => {
-                let reply = Reply::not_run(0, error.to_string(), Duration::ZERO);
-                let mut reply = reply.with_status(error.status());
+                let why = error.to_string();
+                // Only a lack of memory passes with time.
+                let after = match error.status() {
+                    StatusCode::SERVICE_UNAVAILABLE => parts.pause(),
+                    _ => Duration::ZERO,
+                };
+                let reply = Reply::not_run(0, why.clone(), after);
+                let mut reply = refuse(reply.with_status(error.status()), &why);
                 // What follows on the connection can't be told from the rest of the request.
                 reply
                     .headers
@@ -100,14 +117,15 @@
         };
         let Some(config) = parts.store.config() else {
             parts.counters.add(Counter::RefusedNoConfig, 1);
-            return Reply::not_run(0, "no-config", parts.pause());
+            let reply = Reply::not_run(0, "no-config", parts.pause());
+            return refuse(reply, "no-config");
         };
         let service = &parts.settings.service;
         let (method, path) = (message.method.as_str(), message.target.path());
         let Some((chain, class)) = config.classify(service, method, path) else {
             parts.counters.add(Counter::RefusedNoRoute, 1);
             let reply = Reply::not_run(0, "no-chain", Duration::ZERO);
-            return reply.with_status(StatusCode::NOT_FOUND);
+            return refuse(reply.with_status(StatusCode::NOT_FOUND), "no-chain");
         };
         let span = timeout.map_or(class.deadline(), |t| t.min(class.deadline()));
         let asked = Asked {
@@ -115,9 +133,7 @@
             class: class.clone(),
             deadline: arrived + span,
             caller: caller(&message, from.ip()),
-            ticket: read(&message.headers, header::IDEMPOTENCY_KEY)
-                .ok()
-                .flatten(),
+            ticket,
         };
         self.enter(root, asked, message).await
     }
@@ -149,7 +165,7 @@
         let repeatable = order.class.repeatable;
         let mut reply = root::enter(&self.0, order, asked.ticket).await;
         if !repeatable && reply.ticket.is_none() {
-            reply.ticket = Some(parts.issue());
+            reply.ticket = parts.fresh();
         }
         if reply.outcome != Outcome::NotRun {
             return reply;
@@ -168,16 +184,25 @@
     }
 
     fn tickets(&self, request: &Request<Incoming>) -> Response<Body> {
+        let parts = &self.0.parts;
         if request.method() != Method::POST {
             let reply = Reply::not_run(0, "method", Duration::ZERO);
             return reply
                 .with_status(StatusCode::METHOD_NOT_ALLOWED)
                 .into_response();
         }
+        if parts.leaving.get() {
+            let reply = Reply::not_run(0, "leaving", parts.pause());
+            return Reply {
+                leaving: true,
+                ..reply
+            }
+            .into_response();
+        }
         let count = query(request.uri().query().unwrap_or_default(), "count");
         let count = count.and_then(|c| c.parse().ok()).unwrap_or(1);
         let tickets: Vec<_> = (0..TICKETS_MAX.min(count))
-            .map(|_| self.0.parts.issue().to_string())
+            .map(|_| parts.issue().to_string())
             .collect();
         let (mut head, ()) = Response::new(()).into_parts();
         let json = http::HeaderValue::from_static("application/json");
