--- a/src/commands/error.rs
+++ b/src/commands/error.rs
@@ -64,6 +64,19 @@
         /// The revision that it holds.
         held: u64,
     },
+    /// A file is not an experiment.
+    #[error("could not read experiment {}: {reason}", path.display())]
+    #[diagnostic(code(script))]
+    Script {
+        /// The file.
+        path: PathBuf,
+        /// What the decoder reported.
+        reason: String,
+    },
+    /// An experiment could not be run.
+    #[error("could not run the experiment: {0}")]
+    #[diagnostic(code(experiment))]
+    Experiment(String),
     /// Logging could not be started.
     #[error("could not start logging")]
     #[diagnostic(code(log))]
--- a/src/standin/audit.rs
+++ b/src/standin/audit.rs
@@ -37,6 +37,8 @@
     pub extra_max: u64,
     /// Share of the deepest service's work that was for requests without a whole answer.
     pub wasted: f64,
+    /// Descriptions of the first attempts without an answer.
+    pub unanswered: Vec<String>,
     /// Descriptions of the first violations.
     pub samples: Vec<String>,
 }
@@ -110,6 +112,11 @@
                 self.false_refusals += 1;
                 self.sample(format!("id {id}: told not-run and ran:{}", trace()));
             }
+            Told::Failed | Told::Unknown | Told::Timeout | Told::Broken | Told::Error => {
+                if self.unanswered.len() < SAMPLES {
+                    self.unanswered.push(format!("id {id}:{}", trace()));
+                }
+            }
             Told::Complete if !executions.iter().any(|e| e.end == End::Answered) => {
                 self.invented += 1;
                 self.sample(format!(
--- a/src/standin/report.rs
+++ b/src/standin/report.rs
@@ -27,9 +27,11 @@
     pub recovery_median: Option<f64>,
     /// Longest recovery, in s; none when a run did not recover.
     pub recovery_worst: Option<f64>,
+    /// Longest time from the start of the disturbance to normal goodput, in s.
+    pub onset_worst: Option<f64>,
     /// Refusals of important requests in all runs.
     pub important_refused: u64,
-    /// Requests that failed or ended as unknown in all runs.
+    /// Requests that ended neither with a whole answer nor refused, in all runs.
     pub interrupted: u64,
     /// Largest share of non-repeatable requests that ended as unknown.
     pub unknown_worst: f64,
@@ -70,6 +72,11 @@
             .fold(f64::INFINITY, f64::min),
         recovery_median: recoveries.get(runs.len() / 2).and_then(finite),
         recovery_worst: recoveries.last().and_then(finite),
+        onset_worst: runs
+            .iter()
+            .map(|r| r.onset_s)
+            .collect::<Option<Vec<f64>>>()
+            .map(|all| all.into_iter().fold(0.0, f64::max)),
         important_refused: all(|r| r.important_refused),
         interrupted: all(|r| r.interrupted),
         unknown_worst: most(|r| r.unknown),
@@ -144,6 +151,8 @@
     let count = |n: Option<u64>| n.map(|n| n as f64);
     let recovery = row.recovery_worst.unwrap_or(f64::INFINITY);
     check("goodput share", bounds.goodput_share, row.share_worst, true);
+    let onset = row.onset_worst.unwrap_or(f64::INFINITY);
+    check("onset in s", bounds.onset_s, onset, false);
     check("recovery in s", bounds.recovery_s, recovery, false);
     check("wasted share", bounds.wasted, row.wasted_worst, false);
     check("unknown share", bounds.unknown, row.unknown_worst, false);
--- a/src/standin/script.rs
+++ b/src/standin/script.rs
@@ -275,13 +275,15 @@
     pub goodput_share: Option<f64>,
     /// Most refusals of important requests.
     pub important_refused: Option<u64>,
+    /// Longest time from the start of the disturbance to normal goodput, in s.
+    pub onset_s: Option<f64>,
     /// Longest recovery, in s.
     pub recovery_s: Option<f64>,
     /// Largest share of work in vain at the deepest service.
     pub wasted: Option<f64>,
     /// Most violations of invariants.
     pub violations: Option<u64>,
-    /// Most requests that failed or ended as unknown.
+    /// Most requests that ended neither with a whole answer nor refused.
     pub interrupted: Option<u64>,
     /// Largest share of non-repeatable requests that end as unknown.
     pub unknown: Option<f64>,
--- a/src/standin/tally.rs
+++ b/src/standin/tally.rs
@@ -36,7 +36,9 @@
     Broken,
     /// An answer that is not the whole answer to this request.
     Wrong,
-    /// An error of the backend server.
+    /// A whole answer that says that a service below refused the call.
+    Below,
+    /// Another error of the backend server.
     Error,
 }
 
@@ -72,6 +74,8 @@
     pub refused: u64,
     /// Requests that ended as `unknown` or without any answer.
     pub unknown: u64,
+    /// Requests that a service below the first one refused.
+    pub below: u64,
     /// Requests that failed in another way.
     pub failed: u64,
     /// Whole answers that were received within the bucket, whenever the request arrived.
@@ -86,6 +90,7 @@
             good: self.good + other.good,
             refused: self.refused + other.refused,
             unknown: self.unknown + other.unknown,
+            below: self.below + other.below,
             failed: self.failed + other.failed,
             delivered: self.delivered + other.delivered,
         }
@@ -161,6 +166,7 @@
             Told::Complete => b.good += 1,
             Told::NotRun | Told::NoTicket | Told::Unconnected => b.refused += 1,
             Told::Unknown | Told::Timeout | Told::Broken => b.unknown += 1,
+            Told::Below => b.below += 1,
             Told::Failed | Told::Convicted | Told::Wrong | Told::Error => b.failed += 1,
         });
         if told != Told::Complete {
