--- a/src/standin/audit.rs
+++ b/src/standin/audit.rs
@@ -103,6 +103,13 @@
 
     fn check(&mut self, attempt: &Attempt, executions: &[Execution], trace: &dyn Fn() -> String) {
         let id = attempt.id;
+        let unanswered = matches!(
+            attempt.told,
+            Told::Failed | Told::Unknown | Told::Timeout | Told::Broken | Told::Error
+        );
+        if unanswered && self.unanswered.len() < SAMPLES {
+            self.unanswered.push(format!("id {id}:{}", trace()));
+        }
         match attempt.told {
             Told::Wrong => {
                 self.wrong += 1;
@@ -112,11 +119,6 @@
                 self.false_refusals += 1;
                 self.sample(format!("id {id}: told not-run and ran:{}", trace()));
             }
-            Told::Failed | Told::Unknown | Told::Timeout | Told::Broken | Told::Error => {
-                if self.unanswered.len() < SAMPLES {
-                    self.unanswered.push(format!("id {id}:{}", trace()));
-                }
-            }
             Told::Complete if !executions.iter().any(|e| e.end == End::Answered) => {
                 self.invented += 1;
                 self.sample(format!(
