--- a/src/standin/audit.rs
+++ b/src/standin/audit.rs
@@ -37,6 +37,8 @@
     pub extra_max: u64,
     /// Share of the deepest service's work that was for requests without a whole answer.
     pub wasted: f64,
+    /// Descriptions of the first attempts without an answer.
+    pub unanswered: Vec<String>,
     /// Descriptions of the first violations.
     pub samples: Vec<String>,
 }
@@ -101,6 +103,13 @@
 
     fn check(&mut self, attempt: &Attempt, executions: &[Execution], trace: &dyn Fn() -> String) {
         let id = attempt.id;
+        let unanswered = matches!(
+            attempt.told,
+            Told::Failed | Told::Unknown | Told::Timeout | Told::Broken | Told::Error
+        );
+        if unanswered && self.unanswered.len() < SAMPLES {
+            self.unanswered.push(format!("id {id}:{}", trace()));
+        }
         match attempt.told {
             Told::Wrong => {
                 self.wrong += 1;
