Bound stored answers with their overhead and add examples

Cause: many small answers took far more than their bytes, because each header table has its own allocation; public functions lacked examples; the bench had no reports to look at. Change: stored answers are boxed and counted with their overhead, Refusal is an error and Why has a text, runnable examples, reports and waiting in the bench. The memory of stored answers was not measured.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -15,8 +15,9 @@
         id::{Digest, Fingerprint, Revision, RootId, ServiceName},
         limit::End,
         object::{Control, Favour, Upstream},
-        priority::Priority,
+        priority::{Level, Priority},
         publication::Piece,
+        upstream::Load,
     },
 };
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
@@ -71,6 +72,16 @@
         let zone = "z-0".parse().expect("valid name");
         let router = Router::new(name, zone, control, rng.fork());
         router.apply(&config(upstreams));
+        // Each upstream has reported, so that each choice looks at all reports.
+        for n in 0..upstreams {
+            let name = format!("u-{n}").parse().expect("valid name");
+            let load = Load {
+                in_flight: 10,
+                limit: 100,
+                queued: 0,
+            };
+            router.learn_load(&name, load, Level::OPEN);
+        }
         let gate = Gate::new(1_000, Favour::Goodput, control, rng.fork());
         gate.set_state(GateState::Serving);
         let mut request = || {
@@ -90,20 +101,25 @@
         }
     }
 
-    /// One call from its arrival to the end of its first attempt, with a retry checked.
-    fn decide(&mut self) {
-        let now = Instant::now();
+    fn ask(&mut self, now: Instant) -> Ask {
         self.next = (self.next + 1) % self.requests.len();
         let (priority, fingerprint) = self.requests[self.next];
         let span = Duration::from_secs(1);
-        let ask = Ask {
+        Ask {
             priority,
             class: self.class.clone(),
             important: false,
             deadline: now + span,
             span,
             fingerprint,
-        };
+        }
+    }
+
+    /// One call from its arrival to the end of its first attempt, with a retry checked.
+    fn decide(&mut self) {
+        let now = Instant::now();
+        let ask = self.ask(now);
+        let (priority, deadline) = (ask.priority, ask.deadline);
         let permit = self.gate.admit(ask).now_or_never().expect("no wait");
         let permit = permit.expect("the gate has room");
         let services = std::slice::from_ref(&self.service);
@@ -111,7 +127,7 @@
         let pick = self.router.pick(&self.service, priority, &BTreeSet::new());
         pick.expect("an upstream").finish(Attempt::NotRun);
         let rng = self.rng.fork();
-        let mut retry = Retry::new(true, now + span, Control::Adaptive, rng);
+        let mut retry = Retry::new(true, deadline, Control::Adaptive, rng);
         let mut allowance = Allowance::new(3);
         let mut budget = RetryBudget::new();
         let delay = retry.delay(Attempt::NotRun, &mut allowance, &mut budget, now);
@@ -130,5 +146,37 @@
     group.finish();
 }
 
-criterion_group!(benches, decision);
+/// A call that waits in a queue of this length and is then cancelled.
+fn wait(criterion: &mut Criterion) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build();
+    let runtime = runtime.expect("a runtime without I/O");
+    let _context = runtime.enter();
+    let mut group = criterion.benchmark_group("wait");
+    for queued in [10, 100, 1_000] {
+        let mut parts = Parts::new(10);
+        let gate = parts.gate.clone();
+        let mut held = Vec::new();
+        while let Some(Ok(permit)) = gate.admit(parts.ask(Instant::now())).now_or_never() {
+            held.push(permit);
+        }
+        let mut waiting: Vec<_> = (0..queued)
+            .map(|_| Box::pin(gate.admit(parts.ask(Instant::now()))))
+            .collect();
+        for call in &mut waiting {
+            assert!(call.now_or_never().is_none());
+        }
+        assert_eq!(gate.load().queued, queued);
+        group.bench_function(BenchmarkId::new("enter+leave", queued), |bencher| {
+            bencher.iter(|| {
+                let ask = parts.ask(Instant::now());
+                assert!(gate.admit(ask).now_or_never().is_none());
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision, wait);
 criterion_main!(benches);
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -5,8 +5,9 @@
 mod isolation;
 mod proven;
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, fmt, rc::Rc, time::Duration};
 
+use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
 use self::core::{Core, Entered, Refused};
@@ -63,8 +64,33 @@
     Down,
 }
 
+impl Why {
+    /// The reason as a word for logs, metrics and the decision journal.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Level => "level",
+            Self::Evicted => "evicted",
+            Self::Waited => "waited",
+            Self::Deadline => "deadline",
+            Self::Leaving => "leaving",
+            Self::Waking => "waking",
+            Self::Convicted => "convicted",
+            Self::ClassLimit => "class-limit",
+            Self::NoConfig => "no-config",
+            Self::Down => "down",
+        }
+    }
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
 /// A refusal: the call was not dispatched.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Error, Clone, Copy, PartialEq, Eq)]
+#[error("could not admit call: {why}")]
 pub struct Refusal {
     /// The reason.
     pub why: Why,
@@ -108,6 +134,31 @@
 
     /// Admits a call now or after a wait in the queue.
     ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use comfreybay::{coordination::gate::*, state::{id::*, limit::End, object::*, priority::Priority}};
+    /// # use tokio::time::Instant;
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Refusal> {
+    /// let rng = fastrand::Rng::with_seed(1);
+    /// let gate = Gate::new(100, Favour::Goodput, Control::Adaptive, rng);
+    /// gate.set_state(GateState::Serving);
+    /// let span = Duration::from_secs(1);
+    /// let permit = gate.admit(Ask {
+    ///     priority: Priority::new(0, false, RootId([1; 16])),
+    ///     class: "booking".parse().unwrap(),
+    ///     important: true,
+    ///     deadline: Instant::now() + span,
+    ///     span,
+    ///     fingerprint: Fingerprint([1; 16]),
+    /// });
+    /// let permit = permit.await?;
+    /// assert_eq!(gate.load().in_flight, 1);
+    /// permit.finish(Duration::from_millis(5), End::Answered);
+    /// # Ok(())
+    /// # }
+    /// ```
+    ///
     /// # Errors
     /// The call is refused and was not dispatched.
     pub async fn admit(&self, ask: Ask) -> Result<Permit, Refusal> {
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -47,6 +47,21 @@
     /// The delay before the next attempt, or `None` when the call ends with this attempt.
     ///
     /// The retry is charged to the allowance and the budget when a delay is given.
+    ///
+    /// ```
+    /// use comfreybay::coordination::{retry::Retry, router::Attempt};
+    /// use comfreybay::state::{allowance::Allowance, budget::RetryBudget, object::Control};
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    ///
+    /// let now = Instant::now();
+    /// let rng = fastrand::Rng::with_seed(1);
+    /// let mut retry = Retry::new(true, now + Duration::from_secs(1), Control::Adaptive, rng);
+    /// let (mut allowance, mut budget) = (Allowance::new(1), RetryBudget::new());
+    /// let mut delay = |attempt| retry.delay(attempt, &mut allowance, &mut budget, now);
+    /// assert!(delay(Attempt::NotRun).is_some());
+    /// assert!(delay(Attempt::NotRun).is_none());
+    /// ```
     pub fn delay(
         &mut self,
         attempt: Attempt,
--- a/src/state/held.rs
+++ b/src/state/held.rs
@@ -18,6 +18,17 @@
 
 impl HeldTable {
     /// An empty table.
+    ///
+    /// ```
+    /// use comfreybay::state::held::{HeldTable, fingerprint};
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    ///
+    /// let (now, request) = (Instant::now(), fingerprint(&[b"caller", b"GET", b"/a"]));
+    /// let mut table = HeldTable::new();
+    /// table.refused(request, now + Duration::from_secs(1), now);
+    /// assert!(table.is_held(&request, now));
+    /// ```
     pub fn new() -> Self {
         Self::default()
     }
--- a/src/state/limit.rs
+++ b/src/state/limit.rs
@@ -91,6 +91,20 @@
 
 impl Limiter {
     /// The limiter of a cold server with this many slots.
+    ///
+    /// ```
+    /// use comfreybay::state::limit::{End, Limiter};
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    ///
+    /// let now = Instant::now();
+    /// let mut limiter = Limiter::new(100, now);
+    /// assert_eq!(limiter.limit(), 10);
+    /// for _ in 0..1_000 {
+    ///     limiter.record(Duration::from_millis(5), limiter.limit(), End::Answered, now);
+    /// }
+    /// assert_eq!(limiter.limit(), 100);
+    /// ```
     pub fn new(slots: u32, _now: Instant) -> Self {
         let slots = f64::from(slots.max(1));
         Self {
--- a/src/state/ticket.rs
+++ b/src/state/ticket.rs
@@ -20,6 +20,9 @@
 const TICKETS_MAX: usize = 65_536;
 /// Bytes of stored answers over all tickets, an eighth of the memory of a node.
 const STORED_TOTAL_BYTES: usize = 8 * 1024 * 1024;
+/// Overhead of one kept answer and of each of its headers.
+const STORED_OVERHEAD_BYTES: usize = 256;
+const HEADER_OVERHEAD_BYTES: usize = 128;
 const FORMAT: &str = "cb1";
 
 /// A ticket, written as `cb1:issuer:incarnation:sequence:issued_ms:tag`.
@@ -105,6 +108,11 @@
         let headers: usize = pairs.map(|(k, v)| k.as_str().len() + v.len()).sum();
         headers + self.body.len()
     }
+
+    /// Bytes that keeping it takes, with the overhead of the header table.
+    fn cost(&self) -> usize {
+        self.size() + STORED_OVERHEAD_BYTES + self.headers.len() * HEADER_OVERHEAD_BYTES
+    }
 }
 
 /// What the issuer knows about a ticket that is presented.
@@ -128,7 +136,7 @@
 enum Phase {
     Dispatched,
     Refused,
-    Done(Option<Stored>),
+    Done(Option<Box<Stored>>),
 }
 
 #[derive(Debug)]
@@ -192,6 +200,22 @@
     }
 
     /// Looks up a presented ticket; a first use is recorded as dispatched.
+    ///
+    /// ```
+    /// use comfreybay::state::{id::*, ticket::*};
+    /// use tokio::time::Instant;
+    ///
+    /// let mut rng = fastrand::Rng::with_seed(1);
+    /// let now = Instant::now();
+    /// let incarnation = Incarnation::random(&mut rng);
+    /// let mut issuer = TicketIssuer::new("a-1".parse().unwrap(), incarnation, rng, now);
+    /// let ticket = issuer.issue(now);
+    /// let request = Fingerprint([1; 16]);
+    /// assert_eq!(issuer.present(&ticket, request, now), Presented::First);
+    /// assert_eq!(issuer.present(&ticket, request, now), Presented::InProgress);
+    /// issuer.refuse(&ticket);
+    /// assert_eq!(issuer.present(&ticket, request, now), Presented::Refused);
+    /// ```
     pub fn present(&mut self, ticket: &Ticket, request: Fingerprint, now: Instant) -> Presented {
         self.expire(now);
         if !self.is_valid(ticket, now) {
@@ -202,7 +226,7 @@
                 _ if entry.request != request => Presented::Mismatch,
                 Phase::Dispatched => Presented::InProgress,
                 Phase::Refused => Presented::Refused,
-                Phase::Done(answer) => Presented::Done(answer.clone()),
+                Phase::Done(answer) => Presented::Done(answer.as_deref().cloned()),
             };
         }
         if ticket.sequence <= self.dropped {
@@ -233,13 +257,14 @@
     /// Records that the dispatched request was answered, or ended without an answer (`None`).
     pub fn done(&mut self, ticket: &Ticket, answer: Option<Stored>) {
         let size = answer.as_ref().map_or(0, Stored::size);
-        let fits = size <= STORED_MAX_BYTES && self.stored + size <= STORED_TOTAL_BYTES;
+        let cost = answer.as_ref().map_or(0, Stored::cost);
+        let fits = size <= STORED_MAX_BYTES && self.stored + cost <= STORED_TOTAL_BYTES;
         let Some(entry) = self.dispatched(ticket) else {
             return;
         };
-        entry.phase = Phase::Done(answer.filter(|_| fits));
+        entry.phase = Phase::Done(answer.filter(|_| fits).map(Box::new));
         if fits {
-            self.stored += size;
+            self.stored += cost;
         }
     }
 
@@ -253,7 +278,7 @@
         self.entries.is_empty()
     }
 
-    /// Bytes of stored answers.
+    /// Bytes that the stored answers take.
     pub fn stored_bytes(&self) -> usize {
         self.stored
     }
@@ -298,7 +323,7 @@
         };
         self.dropped = self.dropped.max(sequence);
         if let Phase::Done(Some(answer)) = entry.phase {
-            self.stored -= answer.size();
+            self.stored -= answer.cost();
         }
     }
 }
