Never report a refused retry as not-run after an attempt that may have run

Cause: the attempt loop returned the last reply. A call whose first attempt was lost or timed out and whose retry was refused was told not-run. Change: after an attempt that may have run, a not-run reply becomes unknown.

--- a/src/transport/attempts.rs
+++ b/src/transport/attempts.rs
@@ -68,6 +68,7 @@
     budget.borrow_mut().first();
     let mut tried = BTreeSet::new();
     let mut target = first(parts, service, order, first_local);
+    let mut may_have_run = false;
     loop {
         let Some(to) = target else {
             parts.counters.add(Counter::RefusedNoRoute, 1);
@@ -78,13 +79,16 @@
         if reply.outcome == Outcome::Complete {
             return reply;
         }
+        let ended = reply.attempt();
+        let reply = if may_have_run { unproven(reply) } else { reply };
+        may_have_run |= reply.outcome != Outcome::NotRun;
         target = pick(parts, service, order, &tried);
         if target.is_none() {
             return reply;
         }
         let now = Instant::now();
         let charge = |a: &mut Allowance| {
-            let delay = retry.delay(reply.attempt(), a, &mut budget.borrow_mut(), now);
+            let delay = retry.delay(ended, a, &mut budget.borrow_mut(), now);
             delay.map(|d| (d, a.left()))
         };
         let Some((delay, left)) = purse.with(charge).flatten() else {
@@ -97,6 +101,17 @@
     }
 }
 
+/// The proof of the last attempt that it did not run says nothing about an earlier one.
+fn unproven(reply: Reply) -> Reply {
+    if reply.outcome != Outcome::NotRun {
+        return reply;
+    }
+    Reply {
+        unused: reply.unused,
+        ..Reply::unknown("earlier-attempt-may-have-run")
+    }
+}
+
 enum Target {
     Own,
     Peer(Pick),
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -5,7 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreybay::state::{counters::Counter, object::Class};
+use comfreybay::state::{
+    counters::Counter,
+    id::Revision,
+    object::{Class, Control},
+    publication::Publication,
+};
 use http::Response;
 use support::{Act, Fleet, class, local, ok, publication, script};
 
@@ -90,3 +95,33 @@
         );
     }
 }
+
+/// Guards against `not-run` for a call whose first attempt may have run and whose second was
+/// refused. Without control a lost call of a repeatable class is retried.
+#[tokio::test(start_paused = true)]
+async fn refused_retry_of_a_lost_call_is_not_told_as_not_run() {
+    local(async {
+        let first = std::cell::Cell::new(true);
+        let lossy = script(move |seen: support::Seen| {
+            let lost = seen.upstream.starts_with("deep") && first.replace(false);
+            async move {
+                if seen.upstream.starts_with("deep") {
+                    return if lost { Act::Raw(vec![]) } else { shed() };
+                }
+                let below = seen.call("deep", Bytes::new()).await;
+                ok(below.map_or_else(|e| e, |a| a.outcome()))
+            }
+        });
+        let parts = publication(&[("front", 1), ("deep", 2)], &[class("a")]);
+        let mut deployment = parts.head.deployment.clone();
+        deployment.control = Control::Off;
+        let pieces = parts.pieces.into_values().collect();
+        let publication = Publication::new(Revision(1), deployment, pieces);
+        let fleet = Fleet::start(publication, lossy).await;
+        let headers = [("x-id", "1")];
+        let answer = fleet.post("front-0", "/a", &headers, "").await.unwrap();
+        assert_eq!(fleet.runs_of("1").len(), 3, "the lost call was retried");
+        assert_eq!(answer.body, "unknown");
+    })
+    .await;
+}
