Order the gate's test events by the gate's own counter

It numbered an admission when the admitted task ran, not when the gate decided, so an admission from before an arrival seemed to come after it. The altered-ticket test gave up at 20,000 cases because 1 in 17 alterations changes nothing. Change: admissions, arrivals and evictions are numbered by the gate's counter, without the former exemption of decisions in one step; unchanged tickets count as passed. Test hooks of the gate move to their own file.

--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -67,6 +67,8 @@
     next: u64,
     classes: Classes,
     isolation: Isolation,
+    #[cfg(test)]
+    evictions: BTreeMap<Fingerprint, u64>,
 }
 
 impl Core {
@@ -95,6 +97,8 @@
             next: 0,
             classes: Classes::default(),
             isolation: Isolation::default(),
+            #[cfg(test)]
+            evictions: BTreeMap::new(),
         }
     }
 
@@ -115,21 +119,6 @@
         }
     }
 
-    #[cfg(test)]
-    pub(super) fn warm_up(&mut self) {
-        self.limiter.warm_up();
-    }
-
-    #[cfg(test)]
-    pub(super) fn set_level(&mut self, level: Level) {
-        self.meter.set_level(level);
-    }
-
-    #[cfg(test)]
-    pub(super) fn set_limits(&mut self, limits: &[crate::state::object::Limit]) {
-        self.classes.apply(limits);
-    }
-
     /// Decides on an arrival; a call that was evicted for it is added to `refused`.
     pub(super) fn enter(&mut self, ask: Ask, refused: &mut Refused, now: Instant) -> Entered {
         self.meter.arrived(ask.priority, ask.important);
@@ -398,6 +387,8 @@
     }
 
     fn refuse_one(&mut self, waiter: Waiter, why: Why, now: Instant) -> (Reply, Refusal) {
+        #[cfg(test)]
+        self.evictions.insert(waiter.ask.fingerprint, self.next);
         self.note_wait(&waiter, now);
         self.classes.release(&waiter.ask.class);
         let is_overload = matches!(why, Why::Evicted | Why::Waited | Why::Deadline);
@@ -490,3 +481,6 @@
 fn queue_bound(slots: u32) -> usize {
     (slots as usize * QUEUE_PER_SLOT).max(QUEUE_MIN)
 }
+
+#[cfg(test)]
+mod hooks;
--- a/src/coordination/gate/tests.rs
+++ b/src/coordination/gate/tests.rs
@@ -45,8 +45,9 @@
 struct Event {
     important: bool,
     priority: Priority,
-    arrived: usize,
-    decided: usize,
+    /// Values of the gate's counter, which each admission and each new place in the queue raises.
+    arrived: u64,
+    decided: u64,
     refused: Option<Why>,
 }
 
@@ -54,12 +55,7 @@
 async fn overload(seed: u64) -> Vec<Event> {
     let gate = warm(5, Control::Adaptive);
     let rng = Rc::new(RefCell::new(fastrand::Rng::with_seed(seed)));
-    let clock = Rc::new(RefCell::new(0));
     let events = Rc::new(RefCell::new(Vec::new()));
-    let next = |clock: &RefCell<usize>| {
-        *clock.borrow_mut() += 1;
-        *clock.borrow()
-    };
     let ticker = gate.clone();
     tokio::task::spawn_local(async move {
         loop {
@@ -71,20 +67,25 @@
         let gap = rng.borrow_mut().u64(0..6);
         sleep(Duration::from_millis(gap)).await;
         let (gate, rng) = (gate.clone(), rng.clone());
-        let (clock, events) = (clock.clone(), events.clone());
+        let events = events.clone();
         tokio::task::spawn_local(async move {
             let importance = if rng.borrow_mut().u8(..) < 150 { 0 } else { 3 };
             let mut ask = ask(importance, 0);
             ask.priority = Priority::new(importance, false, RootId::random(&mut rng.borrow_mut()));
             ask.fingerprint = Fingerprint(rng.borrow_mut().u128(..).to_be_bytes());
             let (important, priority) = (ask.important, ask.priority);
-            let arrived = next(&clock);
+            let fingerprint = ask.fingerprint;
+            let arrived = gate.core.borrow().counter();
             let admitted = gate.admit(ask).await;
             events.borrow_mut().push(Event {
                 important,
                 priority,
                 arrived,
-                decided: next(&clock),
+                decided: match &admitted {
+                    Ok(permit) => permit.id,
+                    // An evicted call learns of it a moment later.
+                    Err(_) => gate.core.borrow().evicted_at(&fingerprint),
+                },
                 refused: admitted.as_ref().err().map(|r| r.why),
             });
             if let Ok(permit) = admitted {
@@ -115,8 +116,7 @@
                 .iter()
                 .filter(|e| !e.important && e.refused.is_none())
             {
-                // The order of decisions made in one step is not visible, so strictly inside.
-                let is_during = lost.arrived < won.decided && won.decided < lost.decided;
+                let is_during = lost.arrived < won.decided && won.decided <= lost.decided;
                 assert!(!is_during, "seed {seed}: {lost:?} {won:?}");
                 let waited_beside = won.arrived < lost.decided && lost.decided < won.decided;
                 let is_by_order = matches!(why, Some(Why::Level | Why::Evicted));
--- a/src/state/ticket/tests.rs
+++ b/src/state/ticket/tests.rs
@@ -88,7 +88,9 @@
         let text = issuer.issue(now).to_string();
         let at = at.index(text.len());
         let altered = format!("{}{with}{}", &text[..at], &text[at + 1..]);
-        prop_assume!(altered != text);
+        if altered == text {
+            return Ok(());
+        }
         if let Ok(ticket) = altered.parse::<Ticket>() {
             let presented = issuer.present(&ticket, Fingerprint([0; 16]), now);
             prop_assert_eq!(presented, Presented::Unknown);
