Name the counters and decisions that nothing sets yet

14 counters and 8 kinds of decisions are declared but not set by any code, so the page for operators led to values that stay at 0.

--- a/src/state/journal.rs
+++ b/src/state/journal.rs
@@ -71,6 +71,29 @@
 }
 
 impl Change {
+    /// All kinds.
+    pub const ALL: [Self; 19] = [
+        Self::State,
+        Self::Config,
+        Self::ConfigRefused,
+        Self::ConfigConflict,
+        Self::Reader,
+        Self::Level,
+        Self::Limit,
+        Self::ServerLost,
+        Self::ServerBack,
+        Self::Suspect,
+        Self::Cleared,
+        Self::Convicted,
+        Self::Ejected,
+        Self::Returned,
+        Self::UpstreamLeaving,
+        Self::PeerLost,
+        Self::PeerBack,
+        Self::InstanceList,
+        Self::Paused,
+    ];
+
     /// The text used in the dump.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -6,7 +6,10 @@
     path::{Path, PathBuf},
 };
 
-use comfreybay::state::counters::{Counter, Sort};
+use comfreybay::state::{
+    counters::{Counter, Sort},
+    journal::Change,
+};
 
 /// The layers; each may import only from those after it.
 const LAYERS: [&str; 6] = [
@@ -54,6 +57,45 @@
     );
 }
 
+/// Guards against a page that lets operators trust a counter or decision that nothing sets.
+#[test]
+fn unset_counters_and_decisions_are_named() {
+    let mut files = vec![];
+    sources(&root().join("src"), &mut files);
+    let declared = |f: &PathBuf| f.ends_with("counters.rs") || f.ends_with("journal.rs");
+    let texts: Vec<_> = files
+        .iter()
+        .filter(|f| !declared(f))
+        .map(|f| fs::read_to_string(f).expect("the source is readable"))
+        .collect();
+    // A name ends where a longer one, such as `SuspectsAdded` after `Suspects`, goes on.
+    let whole = |text: &str, name: &str| {
+        let mut ends = text
+            .match_indices(name)
+            .map(|(at, _)| &text[at + name.len()..]);
+        ends.any(|rest| !rest.starts_with(char::is_alphanumeric))
+    };
+    let set = |name: &str| texts.iter().any(|t| whole(t, name));
+    let counters = Counter::ALL
+        .iter()
+        .filter(|c| !set(&format!("Counter::{c:?}")));
+    let counters = counters.map(|c| format!("- counter `{c}`"));
+    let changes = Change::ALL
+        .iter()
+        .filter(|c| !set(&format!("Change::{c:?}")));
+    let changes = changes.map(|c| format!("- decision `{c}`"));
+    let unset: BTreeSet<_> = counters.chain(changes).collect();
+    let page = page("operating.md");
+    let listed = page
+        .lines()
+        .filter(|l| l.starts_with("- counter") || l.starts_with("- decision"));
+    let listed: BTreeSet<_> = listed.map(str::to_owned).collect();
+    assert_eq!(
+        listed, unset,
+        "the list in docs/operating.md differs from the code"
+    );
+}
+
 /// Guards against a term of the code that the glossary leaves out.
 #[test]
 fn terms_are_in_the_glossary() {
