--- a/src/commands/settings.rs
+++ b/src/commands/settings.rs
@@ -104,7 +104,7 @@
         f.required("server"),
     );
     let (configuration, instances) = (f.required("configuration"), f.required("instances"));
-    let (seeds, seed) = (f.optional("seeds"), f.optional("seed"));
+    let seeds = f.optional("seeds");
     let (log, metrics) = (f.optional("log"), f.optional("metrics"));
     f.finish();
     Some(Settings {
@@ -121,7 +121,7 @@
         configuration: configuration?,
         instances: instances?,
         seeds: seeds?.unwrap_or_default(),
-        seed: seed?,
+        seed: None,
         log: log?.unwrap_or_default(),
         metrics: metrics?,
     })
--- a/src/state/settings.rs
+++ b/src/state/settings.rs
@@ -37,8 +37,11 @@
     /// Control addresses of nodes to ask for the configuration at the start.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
-    /// Seed of the random generator; random when absent.
-    #[serde(default)]
+    /// Seed of the random generator, random when absent.
+    ///
+    /// Not read from the file: the incarnation and the secret of the tickets are drawn from it, so
+    /// that a process started twice with one seed would accept tickets of its earlier run.
+    #[serde(skip)]
     pub seed: Option<u64>,
     /// Logging.
     #[serde(default)]
