--- a/tests/plane.rs
+++ b/tests/plane.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use capnp_futures::serialize_packed::{PackedRead, PackedWrite};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use comfreybay::{
     coordination::gate::{Ask, Why},
@@ -211,8 +212,8 @@
 fn client(conn: MemoryConn) -> node::Client {
     let (read, write) = tokio::io::split(conn);
     let network = VatNetwork::new(
-        read.compat(),
-        write.compat_write(),
+        PackedRead::new(read.compat()),
+        PackedWrite::new(write.compat_write()),
         Side::Client,
         reader_options(),
     );
