Report levels, ejections, suspects and denied retries as they change

Cause: 14 counters and 8 decisions were declared and never set, so the symptoms table of the operating page could not be followed. Change: an observer compares levels, limits, ejections, lists and suspects once per tick; retries say why they were denied; the dump shows the routing table with the standing of each upstream, and the suspects. Two gauges and one decision that nothing could set are removed.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -131,7 +131,7 @@
         let mut allowance = Allowance::new(3);
         let mut budget = RetryBudget::new();
         let delay = retry.delay(Attempt::NotRun, &mut allowance, &mut budget, now);
-        black_box(delay);
+        black_box(delay).ok();
         permit.finish(Duration::from_millis(10), End::Answered);
     }
 }
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -14,6 +14,19 @@
 /// Extra tries per hop when control is off.
 const UNCONTROLLED_RETRIES: u32 = 2;
 
+/// Why a call is not sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denied {
+    /// It must not be: it may have run, or it was answered.
+    Rule,
+    /// Its allowance is spent.
+    Allowance,
+    /// The retry budget of the service is spent.
+    Budget,
+    /// Too little time is left.
+    Deadline,
+}
+
 /// Retry policy of one call at one hop.
 #[derive(Debug)]
 pub struct Retry {
@@ -44,9 +57,10 @@
         self
     }
 
-    /// The delay before the next attempt, or `None` when the call ends with this attempt.
+    /// The delay before the next attempt; the retry is then charged to the allowance and the budget.
     ///
-    /// The retry is charged to the allowance and the budget when a delay is given.
+    /// # Errors
+    /// The call ends with this attempt, for the reason given.
     ///
     /// ```
     /// use comfreybay::coordination::{retry::Retry, router::Attempt};
@@ -59,8 +73,8 @@
     /// let mut retry = Retry::new(true, now + Duration::from_secs(1), Control::Adaptive, rng);
     /// let (mut allowance, mut budget) = (Allowance::new(1), RetryBudget::new());
     /// let mut delay = |attempt| retry.delay(attempt, &mut allowance, &mut budget, now);
-    /// assert!(delay(Attempt::NotRun).is_some());
-    /// assert!(delay(Attempt::NotRun).is_none());
+    /// assert!(delay(Attempt::NotRun).is_ok());
+    /// assert!(delay(Attempt::NotRun).is_err());
     /// ```
     pub fn delay(
         &mut self,
@@ -68,18 +82,19 @@
         allowance: &mut Allowance,
         budget: &mut RetryBudget,
         now: Instant,
-    ) -> Option<Duration> {
+    ) -> Result<Duration, Denied> {
         if !self.allows(attempt) {
-            return None;
+            return Err(Denied::Rule);
         }
         let scale = f64::from(1 << self.retries.min(10));
         let spread = DELAY_MIN_MS + (DELAY_MAX_MS - DELAY_MIN_MS) * self.rng.f64();
         let delay = Duration::from_secs_f64(spread * scale / 1_000.0);
-        if now + delay >= self.deadline || !self.charge(allowance, budget) {
-            return None;
+        if now + delay >= self.deadline {
+            return Err(Denied::Deadline);
         }
+        self.charge(allowance, budget)?;
         self.retries += 1;
-        Some(delay)
+        Ok(delay)
     }
 
     fn allows(&self, attempt: Attempt) -> bool {
@@ -93,11 +108,19 @@
         }
     }
 
-    fn charge(&self, allowance: &mut Allowance, budget: &mut RetryBudget) -> bool {
+    fn charge(&self, allowance: &mut Allowance, budget: &mut RetryBudget) -> Result<(), Denied> {
         if self.control == Control::Off {
-            return self.retries < UNCONTROLLED_RETRIES;
+            let allowed = self.retries < UNCONTROLLED_RETRIES;
+            return allowed.then_some(()).ok_or(Denied::Allowance);
+        }
+        if allowance.left() == 0 {
+            return Err(Denied::Allowance);
+        }
+        if !budget.spend(self.important) {
+            return Err(Denied::Budget);
         }
-        allowance.left() > 0 && budget.spend(self.important) && allowance.spend()
+        allowance.spend();
+        Ok(())
     }
 }
 
--- a/src/coordination/retry/tests.rs
+++ b/src/coordination/retry/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-fn delay(attempt: Attempt, repeatable: bool, control: Control) -> Option<Duration> {
+fn delay(attempt: Attempt, repeatable: bool, control: Control) -> Result<Duration, Denied> {
     let now = Instant::now();
     let rng = fastrand::Rng::with_seed(1);
     let mut retry = Retry::new(repeatable, now + Duration::from_secs(1), control, rng);
@@ -28,7 +28,7 @@
     ];
     for (attempt, when_repeatable, otherwise) in cases {
         for control in [Control::Adaptive, Control::Fixed] {
-            let some = |repeatable| delay(attempt, repeatable, control).is_some();
+            let some = |repeatable| delay(attempt, repeatable, control).is_ok();
             assert_eq!(some(true), when_repeatable, "{attempt:?}");
             assert_eq!(some(false), otherwise, "{attempt:?}");
         }
@@ -45,7 +45,7 @@
         let mut retry = Retry::new(true, deadline, Control::Adaptive, rng).important(true);
         let (mut allowance, mut budget) = (Allowance::new(9), RetryBudget::new());
         let mut spent = 0;
-        while let Some(delay) = retry.delay(Attempt::NotRun, &mut allowance, &mut budget, now) {
+        while let Ok(delay) = retry.delay(Attempt::NotRun, &mut allowance, &mut budget, now) {
             let (least, most) = (5 << spent, 25 << spent);
             assert!(
                 (least..=most).contains(&(delay.as_millis() as u64)),
@@ -76,14 +76,14 @@
     let mut first = retry().important(true);
     let mut count = || {
         let delay = first.delay(Attempt::NotRun, &mut allowance, &mut budget, now);
-        delay.is_some()
+        delay.is_ok()
     };
     assert_eq!((0..9).filter(|_| count()).count(), 2);
     let mut allowance = Allowance::new(100);
     let mut second = retry().important(true);
     let mut count = || {
         let delay = second.delay(Attempt::NotRun, &mut allowance, &mut budget, now);
-        delay.is_some()
+        delay.is_ok()
     };
     assert_eq!((0..20).filter(|_| count()).count(), 8);
     assert_eq!(allowance.left(), 92);
@@ -98,7 +98,7 @@
     let (mut allowance, mut budget) = (Allowance::new(0), RetryBudget::new());
     let mut count = || {
         let delay = retry.delay(Attempt::Lost, &mut allowance, &mut budget, now);
-        delay.is_some()
+        delay.is_ok()
     };
     assert_eq!((0..9).filter(|_| count()).count(), 2);
 }
--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -16,7 +16,7 @@
     level::{KnownLevel, Levels},
     object::{Control, Upstream},
     priority::{Level, Priority},
-    upstream::{Load, UpstreamTable},
+    upstream::{Load, Row, UpstreamTable},
 };
 
 #[derive(Debug)]
@@ -201,6 +201,38 @@
         inner.services.get(service).map(|s| s.budget.clone())
     }
 
+    /// All upstreams of each service, as the state dump tells them.
+    pub fn rows(&self) -> BTreeMap<ServiceName, Vec<Row>> {
+        let now = Instant::now();
+        let inner = self.inner.borrow();
+        let rows = inner.services.iter();
+        rows.map(|(name, s)| (name.clone(), s.table.rows(now)))
+            .collect()
+    }
+
+    /// Number of upstreams known.
+    pub fn known(&self) -> usize {
+        let inner = self.inner.borrow();
+        inner.services.values().map(|s| s.table.len()).sum()
+    }
+
+    /// The upstreams that are ejected now.
+    pub fn ejected(&self) -> BTreeSet<UpstreamName> {
+        let now = Instant::now();
+        let inner = self.inner.borrow();
+        let tables = inner.services.values().map(|s| &s.table);
+        tables.flat_map(|t| t.ejected(now)).cloned().collect()
+    }
+
+    /// The services whose instance list is not believed now.
+    pub fn distrusted(&self) -> BTreeSet<ServiceName> {
+        let now = Instant::now();
+        let inner = self.inner.borrow();
+        let services = inner.services.iter();
+        let distrusted = services.filter(|(_, s)| s.table.is_list_distrusted(now));
+        distrusted.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Entries looked at by all choices so far.
     pub fn examined(&self) -> u64 {
         let inner = self.inner.borrow();
--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -68,7 +68,6 @@
     CallsOpen "calls.open" "calls" Gauge "Calls in progress in the call table.",
     CallsHeld "calls.held" "calls" Total "Calls held because the caller sent again before its time.",
     AnswersBroken "answers.broken" "answers" Total "Answers of a server that ended before their end.",
-    AddedUs "calls.added-us" "us" Gauge "99th percentile of the time that the node added to a call.",
 
     RefusedLevel "refused.level" "calls" Total "Refused by the admission level.",
     RefusedEvicted "refused.evicted" "calls" Total "Evicted from the queue by a better call.",
@@ -114,7 +113,6 @@
     GateQueued "gate.queued" "calls" Gauge "Calls waiting in the queue.",
     GateLimit "gate.limit" "calls" Gauge "Concurrency limit.",
     GateLevel "gate.level" "priority" Gauge "Admission level; 4294967295 is fully open.",
-    GateDelayUs "gate.delay-us" "us" Gauge "Least queue delay of the last window.",
 
     UpstreamsEjected "upstreams.ejected" "events" Total "Times that an upstream was ejected.",
     UpstreamsOut "upstreams.out" "upstreams" Gauge "Upstreams ejected at the moment.",
--- a/src/state/journal.rs
+++ b/src/state/journal.rs
@@ -62,8 +62,6 @@
     UpstreamLeaving,
     /// A peer was found down.
     PeerLost,
-    /// A peer that was down answered again.
-    PeerBack,
     /// The instance list lost or regained trust.
     InstanceList,
     /// The process was found to have been paused.
@@ -72,7 +70,7 @@
 
 impl Change {
     /// All kinds.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 18] = [
         Self::State,
         Self::Config,
         Self::ConfigRefused,
@@ -89,7 +87,6 @@
         Self::Returned,
         Self::UpstreamLeaving,
         Self::PeerLost,
-        Self::PeerBack,
         Self::InstanceList,
         Self::Paused,
     ];
@@ -113,7 +110,6 @@
             Self::Returned => "returned",
             Self::UpstreamLeaving => "upstream-leaving",
             Self::PeerLost => "peer-lost",
-            Self::PeerBack => "peer-back",
             Self::InstanceList => "instance-list",
             Self::Paused => "paused",
         }
--- a/src/state/upstream.rs
+++ b/src/state/upstream.rs
@@ -5,9 +5,11 @@
 use super::{Error, Result, id::UpstreamName};
 
 mod entry;
+mod row;
 mod subset;
 mod table;
 
+pub use row::{Row, Standing};
 pub use subset::SUBSET_ABOVE;
 pub use table::UpstreamTable;
 
--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -10,7 +10,7 @@
         object::Upstream,
         priority::{Level, Priority},
     },
-    Attempt, Load,
+    Attempt, Load, Row, Standing,
 };
 
 /// Weight of a new sample in the smoothed latency and success share.
@@ -186,6 +186,42 @@
         usable * (self.ramp(now) * self.success * speed).max(WEIGHT_MIN)
     }
 
+    /// What the state dump tells about it.
+    pub(super) fn row(&self, is_active: bool, best: f64, now: Instant) -> Row {
+        let report = self.fresh(now);
+        Row {
+            name: self.upstream.name.clone(),
+            zone: self.upstream.zone.clone(),
+            standing: self.standing(is_active, now),
+            weight: self.weight(best, now),
+            in_flight: self.in_flight,
+            latency_ms: self.latency.map(|seconds| seconds * 1_000.0),
+            success: self.success,
+            failures: self.failures,
+            load: report.map(|(load, ..)| load.to_string()),
+            level: self.level(now),
+        }
+    }
+
+    fn standing(&self, is_active: bool, now: Instant) -> Standing {
+        if self.is_leaving(now) {
+            return Standing::Leaving;
+        }
+        if self.is_absent() {
+            return Standing::Absent;
+        }
+        if self.is_ejected(now) {
+            return Standing::Ejected;
+        }
+        if !is_active {
+            return Standing::OutsideSubset;
+        }
+        if self.ramp(now) < 1.0 {
+            return Standing::Ramping;
+        }
+        Standing::Serving
+    }
+
     fn ramp(&self, now: Instant) -> f64 {
         let Some(from) = self.ramp_from else {
             return 1.0;
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -10,7 +10,7 @@
         object::Upstream,
         priority::{Level, Priority},
     },
-    Attempt, ListState, Listed, Load,
+    Attempt, ListState, Listed, Load, Row,
     entry::{Entry, Listing},
     subset::{SUBSET_ABOVE, subset},
 };
@@ -121,6 +121,35 @@
         Some(self.entries[at].upstream.clone())
     }
 
+    /// All upstreams, as the state dump tells them.
+    pub fn rows(&self, now: Instant) -> Vec<Row> {
+        let entries = self.entries.iter().enumerate();
+        let row =
+            |(at, entry): (usize, &Entry)| entry.row(self.active.contains(&at), self.best, now);
+        entries.map(row).collect()
+    }
+
+    /// The upstreams that are ejected now.
+    pub fn ejected(&self, now: Instant) -> impl Iterator<Item = &UpstreamName> {
+        let ejected = self.entries.iter().filter(move |e| e.is_ejected(now));
+        ejected.map(|e| &e.upstream.name)
+    }
+
+    /// Number of upstreams known.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Whether the instance list is not believed, because too much of the service vanished.
+    pub fn is_list_distrusted(&self, now: Instant) -> bool {
+        self.distrusted_until.is_some_and(|until| now < until)
+    }
+
     /// Records the end of an attempt.
     pub fn ended(&mut self, name: &UpstreamName, attempt: Attempt, took: Duration, now: Instant) {
         if let Some(entry) = self.get_mut(name) {
--- a/src/transport/admin.rs
+++ b/src/transport/admin.rs
@@ -3,6 +3,7 @@
 use std::{
     net::{IpAddr, SocketAddr},
     rc::Rc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -12,9 +13,16 @@
 use serde::Serialize;
 use serde_json::{Map, Value, json};
 
-use crate::state::id::RootId;
+use crate::state::{
+    id::{Fingerprint, RootId, ServiceName},
+    upstream::Row,
+};
 
-use super::{net::Net, node::Path, server::Handler};
+use super::{
+    net::Net,
+    node::{Parts, Path},
+    server::Handler,
+};
 
 /// Answers operators.
 pub struct Admin<N>(pub Rc<Path<N>>);
@@ -90,12 +98,39 @@
                 "down": self.0.health.is_down(),
             },
             "links": links.open(),
+            "upstreams": upstreams(parts),
+            "suspects": suspects(parts),
             "counters": counters,
             "decisions": parts.journal.borrow().decisions().collect::<Vec<_>>(),
         })
     }
 }
 
+/// The routing table, one row an upstream.
+fn upstreams(parts: &Parts) -> Vec<Value> {
+    let row = |service: &ServiceName, row: Row| {
+        let mut value = json!(row);
+        value["service"] = json!(service);
+        value
+    };
+    let services = parts.router.rows();
+    let rows = services.into_iter().flat_map(|(service, rows)| {
+        rows.into_iter()
+            .map(move |r| row(&service, r))
+            .collect::<Vec<_>>()
+    });
+    rows.collect()
+}
+
+/// Requests that may crash or do crash backend servers.
+fn suspects(parts: &Parts) -> Vec<Value> {
+    let news = parts.gate.suspects();
+    let row = |standing: &str, (request, left): &(Fingerprint, Duration)| json!({ "fingerprint": request, "standing": standing, "left_s": left.as_secs() });
+    let suspects = news.suspects.iter().map(|s| row("suspect", s));
+    let convicted = news.convicted.iter().map(|c| row("convicted", c));
+    suspects.chain(convicted).collect()
+}
+
 fn text(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::from(text));
     *response.status_mut() = status;
--- a/src/transport/attempts.rs
+++ b/src/transport/attempts.rs
@@ -5,7 +5,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    coordination::{retry::Retry, router::Pick},
+    coordination::{
+        retry::{Denied, Retry},
+        router::Pick,
+    },
     protocol::outcome::Outcome,
     state::{
         allowance::Allowance,
@@ -91,8 +94,13 @@
             let delay = retry.delay(ended, a, &mut budget.borrow_mut(), now);
             delay.map(|d| (d, a.left()))
         };
-        let Some((delay, left)) = purse.with(charge).flatten() else {
-            return reply;
+        let (delay, left) = match purse.with(charge) {
+            Some(Ok(charged)) => charged,
+            Some(Err(denied)) => {
+                note_denied(parts, order, denied);
+                return reply;
+            }
+            None => return reply,
         };
         let delay_ms = delay.as_millis() as u64;
         parts.note(order.root, Step::Retry { delay_ms, left });
@@ -101,6 +109,18 @@
     }
 }
 
+fn note_denied(parts: &Parts, order: &Order, denied: Denied) {
+    let (counter, cause) = match denied {
+        Denied::Rule => return,
+        Denied::Allowance => (Counter::RetriesAllowance, "the allowance is spent"),
+        Denied::Budget => (Counter::RetriesBudget, "the retry budget is spent"),
+        Denied::Deadline => (Counter::RetriesDeadline, "too little time is left"),
+    };
+    parts.counters.add(counter, 1);
+    let cause = cause.into();
+    parts.note(order.root, Step::NoRetry { cause });
+}
+
 /// The proof of the last attempt that it did not run says nothing about an earlier one.
 fn unproven(reply: Reply) -> Reply {
     if reply.outcome != Outcome::NotRun {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -11,6 +11,7 @@
 pub mod net;
 
 pub mod node;
+mod observe;
 pub mod parts;
 pub mod peer;
 pub mod platform;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -20,6 +20,7 @@
     health,
     link::Links,
     net::{Listener, Net},
+    observe::Observer,
     peer::Peer,
     pool::Pool,
     public::Public,
@@ -237,6 +238,7 @@
 async fn tick<N: Net>(path: Rc<Path<N>>, end: CancellationToken) {
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut observer = Observer::default();
     loop {
         tokio::select! {
             biased;
@@ -244,6 +246,7 @@
             _ = ticks.tick() => {}
         }
         path.parts.gate.tick();
+        observer.tick(&path.parts);
         path.pool.prune();
         path.parts.gauges();
         let connections = path.pool.open().into();
