--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A small fleet in memory: real nodes beside scripted backend servers.
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+mod backend;
+
 use std::{
     cell::RefCell,
     collections::BTreeMap,
@@ -273,7 +275,7 @@
     fn serve(&self, settings: &Settings) -> Process {
         let process = Process::default();
         let net = self.network.net(settings.server.ip(), process.clone());
-        let backend = Backend {
+        let backend = backend::Backend {
             net: net.clone(),
             settings: settings.clone(),
             script: self.script.clone(),
@@ -446,92 +448,3 @@
     let _ = tokio::time::timeout(wait, both).await;
     String::from_utf8_lossy(&got).into_owned()
 }
-
-struct Backend {
-    net: MemoryNet,
-    settings: Settings,
-    script: Script,
-    runs: Rc<RefCell<Vec<(String, String)>>>,
-}
-
-type Chunk = Result<Frame<Bytes>, io::Error>;
-type Chunks = StreamBody<Pin<Box<dyn futures::Stream<Item = Chunk>>>>;
-
-impl Backend {
-    async fn run(self) {
-        let mut listener = self.net.bind(self.settings.server).await.unwrap();
-        let this = Rc::new(self);
-        while let Ok((conn, _)) = listener.accept().await {
-            tokio::task::spawn_local(this.clone().connection(conn));
-        }
-    }
-
-    async fn connection(self: Rc<Self>, conn: <MemoryNet as Net>::Conn) {
-        let raw = Rc::new(RefCell::new(None));
-        let (this, out) = (self.clone(), raw.clone());
-        let service = service_fn(move |request: Request<Incoming>| {
-            let (this, out) = (this.clone(), out.clone());
-            async move {
-                let Ok(act) = this.act(request).await else {
-                    // A request that breaks off is not answered.
-                    return std::future::pending::<Result<Response<Chunks>, Infallible>>().await;
-                };
-                Ok(match act {
-                    Act::Answer(answer) => answer.map(|b| chunks(vec![b], true)),
-                    Act::Chunks(all, ends) => Response::new(chunks(all, ends)),
-                    Act::Raw(bytes) => {
-                        *out.borrow_mut() = Some(bytes);
-                        return std::future::pending().await;
-                    }
-                })
-            }
-        });
-        let mut conn = hyper::server::conn::http1::Builder::new()
-            .serve_connection(TokioIo::new(conn), service);
-        let until_raw = async {
-            loop {
-                if raw.borrow().is_some() {
-                    return;
-                }
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
-        };
-        tokio::select! {
-            _ = &mut conn => return,
-            () = until_raw => {}
-        }
-        let mut io = conn.into_parts().io.into_inner();
-        let bytes = raw.take().unwrap_or_default();
-        let _ = io.write_all(&bytes).await;
-        let _ = io.shutdown().await;
-    }
-
-    async fn act(&self, request: Request<Incoming>) -> Result<Act, hyper::Error> {
-        let (head, body) = request.into_parts();
-        let body = body.collect().await?.to_bytes();
-        if head.uri.path() == "/load" {
-            return Ok(ok(r#"{"busy": 0, "slots": 500, "draining": false}"#));
-        }
-        let seen = Seen {
-            upstream: self.settings.name.to_string(),
-            request: Request::from_parts(head, body),
-            net: self.net.clone(),
-            egress: self.settings.egress,
-        };
-        self.runs
-            .borrow_mut()
-            .push((seen.upstream.clone(), seen.id()));
-        Ok((self.script)(seen).await)
-    }
-}
-
-fn chunks(all: Vec<Bytes>, ends: bool) -> Chunks {
-    let fault = (!ends).then(|| Err(io::Error::other("broken on purpose")));
-    let all = all.into_iter().map(|b| Ok(Frame::data(b))).chain(fault);
-    // Each chunk is sent before the next is made.
-    let slow = stream::iter(all).then(|c| async {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-        c
-    });
-    StreamBody::new(Box::pin(slow))
-}
