Shorten the trial of a lower limit and check for a pause before dispatch

Cause: a trace of billing-1 in tenggara-surge showed the limit at 10 of 20 slots for 10 s of a 20 s slowdown, because a trial took two windows of 64 answers at half the slots. The control plane noticed a pause at its next tick, but calls that arrived before that tick were dispatched. Change: a trial takes two windows of 32 answers at 0.7 of the limit. A node whose tick is overdue by 1 s refuses a call right before dispatch.

--- a/src/state/limit.rs
+++ b/src/state/limit.rs
@@ -24,16 +24,17 @@
 /// Samples of a window while the limit is at the slots; fewer make the average too noisy.
 const STEADY_SAMPLES: u32 = 64;
 const RAMP_SAMPLES: u32 = 16;
+/// Samples of a window of a trial. A server that is slow at any concurrency loses goodput while the
+/// trial lasts: windows of 64 and a step of 0.5 held 20 slots at 10 for 10 s of a 20 s slowdown.
+const TRIAL_SAMPLES: u32 = 32;
 /// Average own time, as a multiple of the reference, up to which answers count as in time.
 const IN_TIME: f64 = 1.1;
 /// Average own time, as a multiple of the reference, above which the server is slow.
 const TOLERANCE: f64 = 1.3;
 /// Samples from which the reference is no longer a plain average.
 const SETTLED_SAMPLES: f64 = 256.0;
-/// Largest decrease in one step.
-const STEP_MIN: f64 = 0.5;
-/// Smallest decrease in one step; the effect of a smaller one is lost in the scatter.
-const STEP_MAX: f64 = 0.7;
+/// Decrease in one step; the effect of a smaller one is lost in the scatter.
+const STEP: f64 = 0.7;
 const SHED_STEP: f64 = 0.9;
 /// Time for which the limit approaches a level at which the server shed load only slowly.
 const SHED_MEMORY: Duration = Duration::from_secs(5);
@@ -153,11 +154,10 @@
         self.window.sum += own;
         self.window.squares += own * own;
         self.window.peak = self.window.peak.max(in_flight);
-        let is_ramping = self.limit < self.slots && self.trial.is_none() && !self.is_slow;
-        let least = if is_ramping {
-            RAMP_SAMPLES
-        } else {
-            STEADY_SAMPLES
+        let least = match self.trial {
+            Some(_) => TRIAL_SAMPLES,
+            None if self.limit < self.slots && !self.is_slow => RAMP_SAMPLES,
+            None => STEADY_SAMPLES,
         };
         if self.window.samples >= self.limit().max(least) {
             let window = std::mem::take(&mut self.window);
@@ -217,7 +217,7 @@
         if is_slow {
             self.skip = in_flight;
             if is_confirmed {
-                self.decrease(average, tolerance * base / average, window.peak);
+                self.decrease(average, window.peak);
             }
             return;
         }
@@ -274,9 +274,9 @@
         base + weight * (average - base)
     }
 
-    fn decrease(&mut self, average: f64, gradient: f64, peak: u32) {
+    fn decrease(&mut self, average: f64, peak: u32) {
         let floor = (self.slots * FLOOR_SHARE).ceil();
-        let limit = (self.limit * gradient.clamp(STEP_MIN, STEP_MAX)).max(floor);
+        let limit = (self.limit * STEP).max(floor);
         if f64::from(peak) < self.limit / 2.0 || limit >= self.limit {
             self.base = Some(average);
             return;
--- a/src/transport/node.rs
+++ b/src/transport/node.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use thiserror::Error;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -245,6 +245,7 @@
             () = end.cancelled() => return,
             _ = ticks.tick() => {}
         }
+        path.parts.ticked.set(Instant::now());
         path.parts.gate.tick();
         observer.tick(&path.parts);
         path.pool.prune();
--- a/src/transport/parts.rs
+++ b/src/transport/parts.rs
@@ -42,6 +42,8 @@
 
 /// Base of the pause that a refused caller is asked for when the gate has not named one.
 const PAUSE_MS: f64 = 500.0;
+/// Age of the last tick from which the process counts as paused; ticks come each 100 ms.
+const SLEPT_MS: u64 = 1_000;
 
 /// The services below a service on a chain.
 type Routes = BTreeMap<(ChainName, ServiceName), Rc<[ServiceName]>>;
@@ -74,6 +76,8 @@
     pub leaving: Cell<bool>,
     /// Bytes of request bodies in memory.
     pub buffered: Rc<Cell<usize>>,
+    /// When the state was last known to be current; overdue after a pause of the process.
+    pub ticked: Cell<Instant>,
     routes: RefCell<Routes>,
 }
 
@@ -117,6 +121,7 @@
             rng: RefCell::new(rng),
             leaving: Cell::new(false),
             buffered: Rc::default(),
+            ticked: Cell::new(now),
             routes: RefCell::default(),
             settings,
         }
@@ -171,6 +176,11 @@
         Instant::now() >= deadline
     }
 
+    /// Whether the process was paused and has not caught up: its tick is overdue.
+    pub fn has_slept(&self) -> bool {
+        self.ticked.get().elapsed() > Duration::from_millis(SLEPT_MS)
+    }
+
     /// Whether an answer is the backend server's own load shedding.
     pub fn is_shed(&self, head: &response::Parts) -> bool {
         let config = self.store.config();
--- a/src/transport/serve.rs
+++ b/src/transport/serve.rs
@@ -166,6 +166,12 @@
             drop(entry);
             return refused(path, order, Why::Deadline);
         }
+        // Tasks of a process that wakes may run before its clock watch does.
+        if parts.has_slept() {
+            lease.reuse();
+            drop(entry);
+            return refused(path, order, Why::Waking);
+        }
         match exchange(path, order, entry, lease).await {
             Sent::Answered(reply) => return *reply,
             Sent::Not(unsent) => entry = unsent,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use support::{Fleet, class, local, publication, relay};
 
@@ -58,3 +58,23 @@
     })
     .await;
 }
+
+/// Guards against a woken process that dispatches a call before it knows that it was paused.
+#[tokio::test(start_paused = true)]
+async fn call_that_met_a_paused_node_is_not_dispatched() {
+    local(async {
+        let fleet = Fleet::start(publication(&[("front", 1)], &[class("a")]), relay(chain())).await;
+        let node = &fleet.members["front-0"].node;
+        let paused = async {
+            node.pause();
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            node.resume();
+        };
+        let headers = [("x-id", "1")];
+        let call = fleet.post("front-0", "/a", &headers, "hello");
+        let ((), answer) = tokio::join!(paused, call);
+        assert_eq!(answer.unwrap().outcome(), "not-run");
+        assert!(fleet.runs_of("1").is_empty());
+    })
+    .await;
+}
