Expect a seed in the settings file to be refused

Cause: the seed is no longer a setting, because a process started twice with one seed would accept tickets of its earlier run.

--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -130,6 +130,7 @@
                 ("format: text", "format: xml"),
             ],
         ),
+        // A seed in the file would repeat the incarnation and the ticket secret at each start.
         ("seed", &[("region: timor", "region: timor\nseed: -1")]),
         ("syntax", &[("seeds:", "seeds: [")]),
         (
