Let callers give up unpresented tickets of nodes that do not answer

Cause: after the loss of a zone the stand-in callers went on using open connections to it until each request timed out, and presented tickets of lost issuers elsewhere, which can only end as unknown.

--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -214,10 +214,17 @@
         let mut id = request * ATTEMPTS;
         let mut ticket = self.ticket(flow, class);
         let mut asked = false;
+        let mut presented = false;
         let mut tries = 0;
         loop {
             let sent = Instant::now();
-            let result = self.attempt(flow, id, ticket.as_ref(), marked).await;
+            // A ticket that was never presented can be given up without risk.
+            if !presented && ticket.as_ref().is_some_and(|t| self.avoids(&t.from)) {
+                ticket = None;
+            }
+            let result = self
+                .attempt(flow, id, ticket.as_ref(), presented, marked)
+                .await;
             let told = result.told;
             self.tally.attempt(Attempt {
                 id,
@@ -250,6 +257,7 @@
                 id += 1;
                 ticket = result.ticket;
             }
+            presented = !again;
             if told == Told::NoTicket && !asked {
                 asked = true;
                 continue;
@@ -269,11 +277,19 @@
         }
         let mut all = self.tickets.borrow_mut();
         let held = all.get_mut(&class)?;
-        held.retain(|h| h.at.elapsed() < Duration::from_millis(TICKET_MS));
+        let young = |h: &Held| h.at.elapsed() < Duration::from_millis(TICKET_MS);
+        held.retain(|h| young(h) && !self.avoids(&h.from));
         held.pop()
     }
 
-    async fn attempt(&self, flow: &Flow, id: u64, ticket: Option<&Held>, marked: bool) -> Try {
+    async fn attempt(
+        &self,
+        flow: &Flow,
+        id: u64,
+        mut ticket: Option<&Held>,
+        presented: bool,
+        marked: bool,
+    ) -> Try {
         let limit = flow.class.deadline() + Duration::from_millis(MARGIN_MS);
         let nothing = |told, node| Try {
             told,
@@ -290,10 +306,19 @@
                 return nothing(Told::Error, None);
             };
             match timeout(limit, self.client.send(to, request)).await {
-                Err(_) => return nothing(Told::Timeout, Some(to)),
-                Ok(Err(Failure::Broken)) => return nothing(Told::Broken, Some(to)),
+                Err(_) => {
+                    self.avoid.borrow_mut().insert(to, Instant::now());
+                    return nothing(Told::Timeout, Some(to));
+                }
+                Ok(Err(Failure::Broken)) => {
+                    self.avoid.borrow_mut().insert(to, Instant::now());
+                    return nothing(Told::Broken, Some(to));
+                }
                 Ok(Err(Failure::Connect)) => {
                     self.avoid.borrow_mut().insert(to, Instant::now());
+                    if ticket.is_some_and(|t| t.from == to) && !presented {
+                        ticket = None;
+                    }
                 }
                 Ok(Ok(reply)) => return read(flow, id, to, &reply),
             }
@@ -301,14 +326,17 @@
         nothing(Told::Unconnected, None)
     }
 
+    /// Whether a node was out of reach or did not answer recently.
+    fn avoids(&self, at: &SocketAddr) -> bool {
+        let avoid = self.avoid.borrow();
+        let last = avoid.get(at);
+        last.is_some_and(|t| t.elapsed() < Duration::from_millis(AVOID_MS))
+    }
+
     fn choose(&self, service: &ServiceName, ticket: Option<&Held>) -> Option<SocketAddr> {
         let directory = self.directory.borrow();
         let all = directory.get(service)?;
-        let avoid = self.avoid.borrow();
-        let recent = |a: &&SocketAddr| {
-            let last = avoid.get(*a);
-            last.is_none_or(|t| t.elapsed() >= Duration::from_millis(AVOID_MS))
-        };
+        let recent = |a: &&SocketAddr| !self.avoids(a);
         let mut rng = self.rng.borrow_mut();
         // Most callers present a ticket where they got it, some at any node.
         if let Some(held) = ticket
