Test the path on a platform in memory and prove the end of empty answers between nodes

Cause: an answer without a body carried no length between two nodes, so the caller's node took it for one that had broken off and answered 502. Found by the new tests of the path.

Change: both listeners for nodes use one function that adds the length.

--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -18,7 +18,7 @@
 use super::{
     super::{
         net::Net,
-        reply::{Body, Reply},
+        reply::{Body, Reply, provable},
         request::Message,
         server::Handler,
     },
@@ -78,6 +78,6 @@
         let headers = response.headers_mut();
         write(headers, header::LOAD, &self.0.gate.load());
         write(headers, header::LEVELS, &self.0.levels(class));
-        response.map(Body::with_trailer)
+        provable(response)
     }
 }
--- a/src/transport/remote.rs
+++ b/src/transport/remote.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, Response, header::CONTENT_LENGTH, response};
+use http::{HeaderMap, Response, response};
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
@@ -29,7 +29,7 @@
     link::SendError,
     net::Net,
     node::{Parts, Path},
-    reply::{Body, Guard, Reply, peer_framing},
+    reply::{Body, Guard, Reply, peer_framing, provable},
     serve::Order,
 };
 
@@ -224,13 +224,9 @@
     let unused = reply.unused;
     let mut response = reply.into_response();
     let levels = parts.levels(chain);
-    let length = response.body().length();
     let headers = response.headers_mut();
     call::write(headers, header::UNUSED, &unused);
     call::write(headers, header::LEVELS, &levels);
     call::write(headers, header::LOAD, &parts.gate.load());
-    if let Some(length) = length.filter(|_| !headers.contains_key(CONTENT_LENGTH)) {
-        headers.insert(CONTENT_LENGTH, length.into());
-    }
-    response.map(Body::with_trailer)
+    provable(response)
 }
--- a/src/transport/reply.rs
+++ b/src/transport/reply.rs
@@ -275,6 +275,16 @@
     content_length(&head.headers).map_or(Framing::Trailer, Framing::Length)
 }
 
+/// An answer whose end another node can recognise, by its length or its trailer.
+pub fn provable(mut response: Response<Body>) -> Response<Body> {
+    let length = response.body().length();
+    let headers = response.headers_mut();
+    if let Some(length) = length.filter(|_| !headers.contains_key(CONTENT_LENGTH)) {
+        headers.insert(CONTENT_LENGTH, length.into());
+    }
+    response.map(Body::with_trailer)
+}
+
 fn is_bodiless(method: &Method, status: StatusCode) -> bool {
     let empty = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
     method == Method::HEAD || empty || status.is_informational()
--- /dev/null
+++ b/tests/mesh.rs
@@ -0,0 +1,422 @@
+//! Guards the request path on a platform: from a caller through two nodes to a backend server.
+
+mod support;
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use comfreybay::state::mesh::backend::Phase;
+use http::{Response, StatusCode};
+use support::{
+    Act, local,
+    mesh::{MeshFleet, route, sealed, table},
+    script,
+};
+use tokio::time::{Instant, sleep};
+
+const LEFT: (&str, &str) = ("x-left", "1000");
+
+/// Guards against a request that reaches its server without the headers that it needs, and against
+/// a caller that names another service than its own.
+#[tokio::test(start_paused = true)]
+async fn request_is_served_with_the_platform_headers() {
+    local(async {
+        let script = script(|seen| async move {
+            let h = |name| support::header(seen.request.headers(), name);
+            let left: u64 = h("x-left").parse().unwrap();
+            assert!((900..=1_000).contains(&left), "{left}");
+            sealed(
+                &seen,
+                &format!("{} {} {}", h("x-origin"), h("x-expected"), h("x-kept")),
+            )
+        });
+        let services = [("front", 1, 4), ("deep", 1, 4)];
+        let fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
+        let headers = [("x-id", "1"), LEFT, ("x-origin", "forged"), ("x-kept", "k")];
+        let answer = fleet.post("front-0", "/a/1", &headers).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.body, "front deep-0 k");
+        assert_eq!(answer.header("x-seal"), "s");
+        assert!(
+            !answer.headers.keys().any(|n| n.as_str().starts_with("cb-")),
+            "{answer:?}"
+        );
+    })
+    .await;
+}
+
+/// Guards against a node that says that a route is not there before it knows the routes.
+#[tokio::test(start_paused = true)]
+async fn unknown_routes_are_refused_only_with_routes() {
+    local(async {
+        let script = script(|seen| async move { sealed(&seen, "") });
+        let fleet = MeshFleet::start(&[("front", 1, 4)], script).await;
+        assert!(!fleet.is_ready("front-0").await);
+        let answer = fleet
+            .post("front-0", "/a/", &[("x-id", "1"), LEFT])
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(!answer.header("retry-after").is_empty());
+        fleet.put_routes(table(1, vec![route("a", "front")]));
+        sleep(Duration::from_millis(50)).await;
+        assert!(fleet.is_ready("front-0").await);
+        let answer = fleet
+            .post("front-0", "/b/", &[("x-id", "2"), LEFT])
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::NOT_FOUND);
+    })
+    .await;
+}
+
+/// Guards against routes that go back to an older version.
+#[tokio::test(start_paused = true)]
+async fn older_routes_are_ignored() {
+    local(async {
+        let script = script(|seen| async move { sealed(&seen, "") });
+        let fleet = MeshFleet::with(&[("front", 1, 4)], vec![], script).await;
+        fleet.put_routes(table(7, vec![route("new", "front")]));
+        sleep(Duration::from_millis(50)).await;
+        fleet.put_routes(table(6, vec![route("old", "front")]));
+        sleep(Duration::from_millis(50)).await;
+        let status = async |path| {
+            fleet
+                .post("front-0", path, &[("x-id", "1"), LEFT])
+                .await
+                .unwrap()
+                .status
+        };
+        assert_eq!(status("/new/").await, StatusCode::OK);
+        assert_eq!(status("/old/").await, StatusCode::NOT_FOUND);
+    })
+    .await;
+}
+
+/// A server that breaks the connection of each first attempt, after it has begun to run it.
+fn breaks_first() -> support::Script {
+    let first = Rc::new(Cell::new(true));
+    script(move |seen| {
+        let breaks = first.replace(false);
+        async move {
+            match breaks {
+                true => Act::Raw(Vec::new()),
+                false => sealed(&seen, "again"),
+            }
+        }
+    })
+}
+
+/// Guards against a second run of a request that must not be repeated, and against a false promise
+/// that it has not run.
+#[tokio::test(start_paused = true)]
+async fn request_that_may_have_run_is_not_repeated() {
+    local(async {
+        let mut once = route("a", "deep");
+        once.idempotent = false;
+        let services = [("front", 1, 4), ("deep", 2, 4)];
+        let fleet = MeshFleet::with(&services, vec![once], breaks_first()).await;
+        let answer = fleet
+            .post("front-0", "/a/", &[("x-id", "1"), LEFT])
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+        assert_eq!(fleet.runs_of("1").len(), 1);
+    })
+    .await;
+}
+
+/// Guards against an idempotent request that is lost with the connection of one server.
+#[tokio::test(start_paused = true)]
+async fn idempotent_request_is_repeated_elsewhere() {
+    local(async {
+        let services = [("front", 1, 4), ("deep", 2, 4)];
+        let fleet = MeshFleet::with(&services, vec![route("a", "deep")], breaks_first()).await;
+        // The budget grows with the requests.
+        for id in 2..40 {
+            let id = id.to_string();
+            fleet
+                .post("front-0", "/a/", &[("x-id", id.as_str()), LEFT])
+                .await
+                .unwrap();
+        }
+        let breaks = fleet.runs.borrow().clone();
+        let twice = breaks
+            .iter()
+            .filter(|(_, id)| fleet.runs_of(id).len() == 2)
+            .count();
+        assert_eq!(twice, 2, "one request ran at two servers: {breaks:?}");
+    })
+    .await;
+}
+
+/// Guards against answers that belong to another request or that the server did not make.
+#[tokio::test(start_paused = true)]
+async fn foreign_answers_are_not_passed_on() {
+    local(async {
+        let script = script(|seen| async move {
+            let answer = Response::builder();
+            let answer = match seen.request.uri().path() {
+                "/a/other" => answer.header("x-id", "another").header("x-seal", "s"),
+                "/a/encoded" => answer
+                    .header("x-seal", "s")
+                    .header("content-encoding", "gzip"),
+                _ => answer.header("x-id", seen.id()),
+            };
+            Act::Answer(answer.body(Bytes::from_static(b"foreign")).unwrap())
+        });
+        let mut once = route("a", "deep");
+        once.idempotent = false;
+        let fleet = MeshFleet::with(&[("front", 1, 4), ("deep", 1, 4)], vec![once], script).await;
+        for path in ["/a/other", "/a/unsealed", "/a/encoded"] {
+            let answer = fleet
+                .post("front-0", path, &[("x-id", "1"), LEFT])
+                .await
+                .unwrap();
+            assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{path}");
+            assert!(answer.body.is_empty(), "{path}");
+        }
+    })
+    .await;
+}
+
+/// Guards against a request at a server that another one has replaced at its address, and against
+/// a node that goes on asking there.
+#[tokio::test(start_paused = true)]
+async fn replaced_server_is_not_asked_again() {
+    local(async {
+        let script = script(|seen| async move {
+            let answer = Response::builder().status(421).header("x-id", seen.id());
+            Act::Answer(answer.body(Bytes::new()).unwrap())
+        });
+        let services = [("front", 1, 4), ("deep", 1, 4)];
+        let fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
+        for id in ["1", "2", "3"] {
+            let answer = fleet
+                .post("front-0", "/a/", &[("x-id", id), LEFT])
+                .await
+                .unwrap();
+            assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        }
+        assert_eq!(fleet.runs.borrow().len(), 1);
+    })
+    .await;
+}
+
+/// Guards against more requests at a server than it has slots, where some servers never answer the
+/// rest, and against a refusal without a time to come back.
+#[tokio::test(start_paused = true)]
+async fn server_gets_no_more_requests_than_slots() {
+    local(async {
+        let (running, most) = (Rc::new(Cell::new(0_u32)), Rc::new(Cell::new(0)));
+        let (now, peak) = (running.clone(), most.clone());
+        let script = script(move |seen| {
+            let (now, peak) = (now.clone(), peak.clone());
+            async move {
+                now.set(now.get() + 1);
+                peak.set(now.get().max(peak.get()));
+                sleep(Duration::from_millis(100)).await;
+                now.set(now.get() - 1);
+                sealed(&seen, "")
+            }
+        });
+        let services = [("front", 2, 4), ("deep", 1, 3)];
+        let fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
+        let ids: Vec<_> = (0..60).map(|n| n.to_string()).collect();
+        let all = ids.iter().enumerate().map(|(n, id)| {
+            let node = if n % 2 == 0 { "front-0" } else { "front-1" };
+            let fleet = &fleet;
+            async move {
+                fleet
+                    .post(node, "/a/", &[("x-id", id.as_str()), LEFT])
+                    .await
+                    .unwrap()
+            }
+        });
+        let answers = futures::future::join_all(all).await;
+        assert_eq!(most.get(), 3);
+        let refused = answers
+            .iter()
+            .filter(|a| a.status == StatusCode::SERVICE_UNAVAILABLE);
+        assert!(refused.clone().count() > 0);
+        assert!(refused.clone().all(|a| !a.header("retry-after").is_empty()));
+        assert_eq!(
+            refused.count() + fleet.runs.borrow().len(),
+            60,
+            "a refused request ran"
+        );
+    })
+    .await;
+}
+
+/// Guards against new work at a server that drains, and against requests that are lost with it.
+#[tokio::test(start_paused = true)]
+async fn draining_server_gets_no_new_work() {
+    local(async {
+        let script = script(|seen| async move { sealed(&seen, "") });
+        let services = [("front", 1, 4), ("deep", 2, 4)];
+        let fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
+        let mut entry = fleet.pairs["deep-0"].entry.clone();
+        entry.phase = Phase::Draining;
+        fleet.put_entry(entry);
+        sleep(Duration::from_millis(50)).await;
+        for id in 0..20 {
+            let id = id.to_string();
+            let answer = fleet
+                .post("front-0", "/a/", &[("x-id", id.as_str()), LEFT])
+                .await;
+            assert_eq!(answer.unwrap().status, StatusCode::OK);
+        }
+        assert!(
+            fleet
+                .runs
+                .borrow()
+                .iter()
+                .all(|(server, _)| server == "deep-1")
+        );
+    })
+    .await;
+}
+
+/// Guards against work at a server whose entry was removed, after the bound for leaving servers.
+#[tokio::test(start_paused = true)]
+async fn removed_server_gets_no_work_after_the_bound() {
+    local(async {
+        let script = script(|seen| async move { sealed(&seen, "") });
+        let fleet = MeshFleet::with(
+            &[("front", 1, 4), ("deep", 1, 4)],
+            vec![route("a", "deep")],
+            script,
+        )
+        .await;
+        fleet.remove_entry("deep-0");
+        sleep(Duration::from_millis(1_500)).await;
+        let answer = fleet
+            .post("front-0", "/a/", &[("x-id", "1"), LEFT])
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(fleet.runs.borrow().is_empty());
+    })
+    .await;
+}
+
+/// Guards against routing that depends on a store that is away.
+#[tokio::test(start_paused = true)]
+async fn store_outage_changes_nothing() {
+    local(async {
+        let script = script(|seen| async move { sealed(&seen, "") });
+        let services = [("front", 1, 4), ("deep", 1, 4)];
+        let fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
+        fleet.shelf.down.set(true);
+        sleep(Duration::from_secs(20)).await;
+        let answer = fleet
+            .post("front-0", "/a/", &[("x-id", "1"), LEFT])
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(fleet.is_ready("front-0").await);
+    })
+    .await;
+}
+
+/// Guards against a planned stop that cuts a request, and against a node that takes longer to stop
+/// than it is given.
+#[tokio::test(start_paused = true)]
+async fn planned_stop_cuts_no_request() {
+    local(async {
+        let script = script(|seen| async move {
+            sleep(Duration::from_millis(1_900)).await;
+            sealed(&seen, "whole")
+        });
+        let services = [("front", 1, 4), ("deep", 1, 4)];
+        let mut fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
+        let began = Instant::now();
+        for name in ["front-0", "deep-0"] {
+            fleet.pairs[name].stop.cancel();
+        }
+        sleep(Duration::from_millis(10)).await;
+        assert!(!fleet.is_ready("front-0").await);
+        let left = ("x-left", "2000");
+        let answer = fleet
+            .post("front-0", "/a/", &[("x-id", "1"), left])
+            .await
+            .unwrap();
+        assert_eq!(answer.body, "whole");
+        for name in ["front-0", "deep-0"] {
+            let task = fleet.pairs.get_mut(name).unwrap().task.take().unwrap();
+            task.await.unwrap();
+        }
+        assert!(began.elapsed() < Duration::from_secs(6));
+    })
+    .await;
+}
+
+/// Guards against work that goes on after the caller has left.
+#[tokio::test(start_paused = true)]
+async fn caller_that_leaves_cancels_the_work() {
+    local(async {
+        let ended = Rc::new(Cell::new(false));
+        struct Ends(Rc<Cell<bool>>);
+        impl Drop for Ends {
+            fn drop(&mut self) {
+                self.0.set(true);
+            }
+        }
+        let flag = ended.clone();
+        let script = script(move |seen| {
+            let ends = Ends(flag.clone());
+            async move {
+                sleep(Duration::from_secs(60)).await;
+                drop(ends);
+                sealed(&seen, "")
+            }
+        });
+        let services = [("front", 1, 4), ("deep", 1, 4)];
+        let fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
+        let headers = [("x-id", "1"), LEFT];
+        let post = fleet.post("front-0", "/a/", &headers);
+        let left = tokio::time::timeout(Duration::from_millis(200), post).await;
+        assert!(left.is_err());
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(fleet.runs_of("1").len(), 1);
+        assert!(ended.get(), "the server still works");
+    })
+    .await;
+}
+
+/// Guards against calls that lose the importance and rank of the request they are made for.
+#[tokio::test(start_paused = true)]
+async fn calls_inherit_their_root() {
+    local(async {
+        let script = script(|seen| async move {
+            if seen.upstream.starts_with("deep") {
+                return sealed(&seen, "deep");
+            }
+            let id = format!("{}.1", seen.id());
+            let below = seen
+                .send("/inner/", &[("x-id", &id), ("x-left", "500")])
+                .await;
+            sealed(&seen, std::str::from_utf8(&below.unwrap().body).unwrap())
+        });
+        let mut outer = route("outer", "front");
+        outer.importance = 3;
+        let routes = vec![outer, route("inner", "deep")];
+        let services = [("front", 1, 4), ("deep", 1, 4)];
+        let fleet = MeshFleet::with(&services, routes, script).await;
+        let answer = fleet
+            .post("front-0", "/outer/", &[("x-id", "1"), LEFT])
+            .await
+            .unwrap();
+        assert_eq!(answer.body, "deep");
+        let mesh = &fleet.pairs["front-0"].mesh;
+        let calls = mesh.calls.borrow();
+        let below: Vec<_> = calls.below(&"outer".parse().unwrap()).cloned().collect();
+        assert_eq!(
+            below.iter().map(|s| s.as_str()).collect::<Vec<_>>(),
+            ["deep", "front"]
+        );
+        assert!(calls.parent("1.1", '.').is_none(), "the request has ended");
+    })
+    .await;
+}
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -4,7 +4,9 @@
 
 pub(super) struct Backend {
     pub(super) net: MemoryNet,
-    pub(super) settings: Settings,
+    pub(super) name: String,
+    pub(super) at: SocketAddr,
+    pub(super) egress: SocketAddr,
     pub(super) script: Script,
     pub(super) runs: Rc<RefCell<Vec<(String, String)>>>,
 }
@@ -14,7 +16,7 @@
 
 impl Backend {
     pub(super) async fn run(self) {
-        let mut listener = self.net.bind(self.settings.server).await.unwrap();
+        let mut listener = self.net.bind(self.at).await.unwrap();
         let this = Rc::new(self);
         while let Ok((conn, _)) = listener.accept().await {
             tokio::task::spawn_local(this.clone().connection(conn));
@@ -68,10 +70,10 @@
             return Ok(ok(r#"{"busy": 0, "slots": 500, "draining": false}"#));
         }
         let seen = Seen {
-            upstream: self.settings.name.to_string(),
+            upstream: self.name.clone(),
             request: Request::from_parts(head, body),
             net: self.net.clone(),
-            egress: self.settings.egress,
+            egress: self.egress,
         };
         self.runs
             .borrow_mut()
--- /dev/null
+++ b/tests/support/mesh.rs
@@ -0,0 +1,354 @@
+//! A small fleet of nodes on a stand-in platform, in memory.
+
+use comfreybay::{
+    protocol::directory::{Changes, Directory, Item, Names, Page, Section},
+    state::{
+        id::ServiceName,
+        mesh::{
+            backend::{Backend as Entry, Phase},
+            route::{Bounds, Part, Route, RouteTable, Service as Described},
+            settings::{Promises, Settings as MeshSettings},
+            window::Budget,
+        },
+    },
+    transport::mesh::{Mesh, node},
+};
+use http::HeaderName;
+use tokio::sync::Notify;
+
+use super::{backend::Backend, *};
+
+const STORE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 8, 0, 1)), 9000);
+pub const OUTBOUND: u16 = 9001;
+pub const INBOUND: u16 = 9002;
+pub const READY: u16 = 9003;
+pub const SERVER: u16 = 9004;
+
+/// All that the stand-in store was told, in order; the revision is the position after an item.
+#[derive(Default)]
+pub struct Shelf {
+    log: RefCell<Vec<(Section, Item)>>,
+    changed: Notify,
+    /// Whether the store answers 503.
+    pub down: std::cell::Cell<bool>,
+}
+
+impl Shelf {
+    pub fn put(&self, section: Section, item: impl FnOnce(u64) -> Item) {
+        let mut log = self.log.borrow_mut();
+        let revision = log.len() as u64 + 1;
+        log.push((section, item(revision)));
+        self.changed.notify_waiters();
+    }
+
+    fn revision(&self) -> u64 {
+        self.log.borrow().len() as u64
+    }
+
+    fn items(&self, section: Section, from: u64, to: u64) -> Vec<Item> {
+        let log = self.log.borrow();
+        let some = log[from as usize..to as usize].iter();
+        some.filter(|(s, _)| *s == section)
+            .map(|(_, item)| item.clone())
+            .collect()
+    }
+}
+
+/// Reads answers of the form `section from to`.
+pub struct TestDirectory(pub Rc<Shelf>);
+
+impl TestDirectory {
+    fn read(&self, body: &[u8]) -> (Vec<Item>, u64) {
+        let text = std::str::from_utf8(body).unwrap();
+        let words: Vec<_> = text.split(' ').collect();
+        let section = match words[0] {
+            "backends" => Section::Backends,
+            _ => Section::Routes,
+        };
+        let to = words[2].parse().unwrap();
+        (self.0.items(section, words[1].parse().unwrap(), to), to)
+    }
+}
+
+impl Directory for TestDirectory {
+    fn list(&self, section: Section, _after: Option<&str>) -> String {
+        format!("/{}/0/0", section.as_str())
+    }
+
+    fn watch(&self, section: Section, revision: u64, wait: Duration) -> String {
+        format!("/{}/{revision}/{}", section.as_str(), wait.as_millis())
+    }
+
+    fn page(&self, body: &[u8]) -> comfreybay::protocol::directory::Result<Page> {
+        let (items, revision) = self.read(body);
+        Ok(Page {
+            items,
+            next: None,
+            revision,
+        })
+    }
+
+    fn changes(&self, body: &[u8]) -> comfreybay::protocol::directory::Result<Changes> {
+        let (items, revision) = self.read(body);
+        Ok(Changes { items, revision })
+    }
+}
+
+async fn serve_store(net: MemoryNet, shelf: Rc<Shelf>) {
+    let mut listener = net.bind(STORE).await.unwrap();
+    while let Ok((conn, _)) = listener.accept().await {
+        let shelf = shelf.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let shelf = shelf.clone();
+            async move { Ok::<_, Infallible>(answer(&shelf, request.uri().path()).await) }
+        });
+        let conn = hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(conn), service);
+        tokio::task::spawn_local(conn);
+    }
+}
+
+async fn answer(shelf: &Shelf, path: &str) -> Response<Full<Bytes>> {
+    let words: Vec<_> = path[1..].split('/').collect();
+    let (from, wait): (u64, u64) = (words[1].parse().unwrap(), words[2].parse().unwrap());
+    if wait > 0 && !shelf.down.get() {
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait);
+        while shelf.revision() == from {
+            let changed = shelf.changed.notified();
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                break;
+            }
+        }
+    }
+    let mut response = Response::new(Full::from(format!(
+        "{} {from} {}",
+        words[0],
+        shelf.revision()
+    )));
+    if shelf.down.get() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+pub fn names() -> Names {
+    let name = HeaderName::from_static;
+    Names {
+        attempt: name("x-id"),
+        time_left: name("x-left"),
+        seal: name("x-seal"),
+        expected: name("x-expected"),
+        load: name("x-load"),
+        not_run: name("x-not-run"),
+        origin: name("x-origin"),
+        call_mark: '.',
+    }
+}
+
+/// A route to one service, on the host `h` and the path `/NAME/`.
+pub fn route(name: &str, service: &str) -> Route {
+    Route {
+        class: name.parse().unwrap(),
+        host: "h".to_owned(),
+        prefix: format!("/{name}/"),
+        parts: vec![Part {
+            service: service.parse().unwrap(),
+            weight: 1.0,
+        }],
+        idempotent: true,
+        timeout: Duration::from_secs(2),
+        target: Duration::from_secs(1),
+        attempts: 2,
+        importance: 1,
+    }
+}
+
+pub fn table(revision: u64, routes: Vec<Route>) -> RouteTable {
+    let services = routes.iter().flat_map(|r| &r.parts);
+    let services = services.map(|p| (p.service.clone(), Described { connections: 100 }));
+    let services: BTreeMap<ServiceName, Described> = services.collect();
+    let bounds = Bounds {
+        body_bytes: 1 << 20,
+        idle: Duration::from_secs(15),
+    };
+    RouteTable::new(Revision(revision), routes, services, bounds).unwrap()
+}
+
+/// A node with the backend server beside it.
+pub struct Pair {
+    pub mesh: Rc<Mesh<MemoryNet, TestDirectory>>,
+    pub entry: Entry,
+    pub stop: CancellationToken,
+    pub task: Option<JoinHandle<Ended>>,
+    pub node: Process,
+    pub server: Process,
+}
+
+pub struct MeshFleet {
+    pub network: Network,
+    pub shelf: Rc<Shelf>,
+    pub pairs: BTreeMap<String, Pair>,
+    /// Server and request id of each request that a server began to run.
+    pub runs: Rc<RefCell<Vec<(String, String)>>>,
+    script: Script,
+}
+
+impl MeshFleet {
+    /// Starts a store without routes, and nodes and servers named `SERVICE-N`.
+    pub async fn start(services: &[(&str, u8, u32)], script: Script) -> Self {
+        let network = Network::new(1);
+        let shelf = Rc::new(Shelf::default());
+        let store = network.net(STORE.ip(), Process::default());
+        tokio::task::spawn_local(serve_store(store, shelf.clone()));
+        let mut fleet = Self {
+            network,
+            shelf,
+            pairs: BTreeMap::new(),
+            runs: Rc::default(),
+            script,
+        };
+        for (index, (service, count, slots)) in services.iter().enumerate() {
+            for n in 0..*count {
+                fleet.join(service, index as u8, n, *slots);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        fleet
+    }
+
+    /// Starts the fleet with routes in effect.
+    pub async fn with(services: &[(&str, u8, u32)], routes: Vec<Route>, script: Script) -> Self {
+        let fleet = Self::start(services, script).await;
+        fleet.put_routes(table(1, routes));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        fleet
+    }
+
+    pub fn put_routes(&self, table: RouteTable) {
+        self.shelf.put(Section::Routes, |revision| Item::Routes {
+            table: Ok(table),
+            revision,
+        });
+    }
+
+    pub fn put_entry(&self, entry: Entry) {
+        self.shelf.put(Section::Backends, |revision| Item::Backend {
+            id: entry.id.clone(),
+            entry: Ok(entry),
+            revision,
+        });
+    }
+
+    pub fn remove_entry(&self, name: &str) {
+        let id = self.pairs[name].entry.id.clone();
+        self.shelf
+            .put(Section::Backends, |revision| Item::Removed { id, revision });
+    }
+
+    fn join(&mut self, service: &str, index: u8, n: u8, slots: u32) {
+        let ip = IpAddr::from([10, 1, index, n + 1]);
+        let at = |port| SocketAddr::new(ip, port);
+        let name = format!("{service}-{n}");
+        let entry = Entry {
+            id: name.parse().unwrap(),
+            born: Some(1),
+            service: service.parse().unwrap(),
+            address: at(SERVER),
+            zone: "z".parse().unwrap(),
+            slots,
+            phase: Phase::Ready,
+            cold: Duration::ZERO,
+        };
+        let settings = MeshSettings {
+            name: format!("node-{name}").parse().unwrap(),
+            service: service.parse().unwrap(),
+            zone: "z".parse().unwrap(),
+            outbound: at(OUTBOUND),
+            inbound: at(INBOUND),
+            ready: at(READY),
+            server: at(SERVER),
+            store: STORE,
+            promises: Promises {
+                drain: Duration::from_secs(2),
+                grace: Duration::from_secs(6),
+                budget: Budget {
+                    ratio: 0.2,
+                    slack: 40.0,
+                    window: Duration::from_secs(10),
+                },
+            },
+        };
+        let (node, server) = (Process::default(), Process::default());
+        let backend = Backend {
+            net: self.network.net(ip, server.clone()),
+            name: name.clone(),
+            at: at(SERVER),
+            egress: at(OUTBOUND),
+            script: self.script.clone(),
+            runs: self.runs.clone(),
+        };
+        tokio::task::spawn_local(Host::new(server.clone(), backend.run()));
+        let net = self.network.net(ip, node.clone());
+        let mesh = Mesh::new(net, settings, names(), TestDirectory(self.shelf.clone()));
+        let (mesh, stop) = (Rc::new(mesh), CancellationToken::new());
+        let (run, token) = (mesh.clone(), stop.clone());
+        let main = async move { node::run(run, token).await.unwrap() };
+        let task = Some(tokio::task::spawn_local(Host::new(node.clone(), main)));
+        self.put_entry(entry.clone());
+        let pair = Pair {
+            mesh,
+            entry,
+            stop,
+            task,
+            node,
+            server,
+        };
+        self.pairs.insert(name, pair);
+    }
+
+    /// Sends a request from a caller on the instance of a node.
+    pub async fn post(
+        &self,
+        name: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Answer, String> {
+        let mut request = Request::post(path).header("host", "h");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let ip = self.pairs[name].entry.address.ip();
+        let net = self.network.net(ip, Process::default());
+        let request = request
+            .body(Full::new(Bytes::from_static(b"body")))
+            .unwrap();
+        send(&net, SocketAddr::new(ip, OUTBOUND), request).await
+    }
+
+    pub async fn is_ready(&self, name: &str) -> bool {
+        let at = SocketAddr::new(self.pairs[name].entry.address.ip(), READY);
+        let net = self.network.net(CALLER, Process::default());
+        let request = Request::get("/")
+            .header("host", "r")
+            .body(Full::default())
+            .unwrap();
+        send(&net, at, request)
+            .await
+            .is_ok_and(|a| a.status == StatusCode::OK)
+    }
+
+    /// Servers that began to run the request of this id.
+    pub fn runs_of(&self, id: &str) -> Vec<String> {
+        let runs = self.runs.borrow();
+        let some = runs.iter().filter(|(_, i)| i == id);
+        some.map(|(server, _)| server.clone()).collect()
+    }
+}
+
+/// A sealed answer that repeats the id of the request.
+pub fn sealed(seen: &Seen, body: &str) -> Act {
+    let answer = Response::builder()
+        .header("x-id", seen.id())
+        .header("x-seal", "s");
+    Act::Answer(answer.body(Bytes::from(body.to_owned())).unwrap())
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
 mod backend;
+pub mod mesh;
 
 use std::{
     cell::RefCell,
@@ -98,6 +99,16 @@
         send(&self.net, self.egress, request).await
     }
 
+    /// Sends a request to the node beside the server.
+    pub async fn send(&self, path: &str, headers: &[(&str, &str)]) -> Result<Answer, String> {
+        let mut request = Request::post(path).header("host", "h");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::default()).unwrap();
+        send(&self.net, self.egress, request).await
+    }
+
     pub fn id(&self) -> String {
         header(self.request.headers(), "x-id")
     }
@@ -277,7 +288,9 @@
         let net = self.network.net(settings.server.ip(), process.clone());
         let backend = backend::Backend {
             net: net.clone(),
-            settings: settings.clone(),
+            name: settings.name.to_string(),
+            at: settings.server,
+            egress: settings.egress,
             script: self.script.clone(),
             runs: self.runs.clone(),
         };
