--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,238 @@
+//! Guards the state of a node on a platform: beliefs, routes, shares and budgets.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use comfreybay::state::{
+    id::Revision,
+    mesh::{
+        backend::{Backend, Phase},
+        registry::{Change, Patience, Registry},
+        route::{Bounds, Error, Part, Route, RouteTable, Service},
+        split::Split,
+        window::{Budget, RetryWindow},
+    },
+};
+use tokio::time::Instant;
+
+const PORT: u16 = 7;
+
+fn backend(id: &str, host: u8) -> Backend {
+    Backend {
+        id: id.parse().unwrap(),
+        born: Some(1),
+        service: "deep".parse().unwrap(),
+        address: ([10, 0, 0, host], 80).into(),
+        zone: "z".parse().unwrap(),
+        slots: 4,
+        phase: Phase::Ready,
+        cold: Duration::ZERO,
+    }
+}
+
+fn registry() -> Registry {
+    Registry::new(Patience {
+        calm: Duration::from_millis(800),
+        lapsed: Duration::from_millis(2_200),
+    })
+}
+
+fn usable(registry: &Registry) -> Vec<String> {
+    let all = registry.upstreams(PORT);
+    let some = all.values().flatten();
+    some.map(|u| u.name.to_string()).collect()
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Guards against a server that is forgotten as soon as its entry is missing while most others of
+/// its service are missing too, as when entries lapse with the store.
+#[test]
+fn lapsed_servers_stay_until_the_store_has_been_back_for_long() {
+    let (mut registry, now) = (registry(), Instant::now());
+    for host in 1..=3 {
+        registry.learn(backend(&format!("i-{host}"), host), 1, now);
+    }
+    registry.store_returned(now);
+    assert_eq!(registry.listed(&BTreeSet::new(), now).len(), 3);
+    assert!(registry.expire(now + ms(2_100)).is_empty());
+    assert_eq!(usable(&registry).len(), 3);
+    assert_eq!(registry.expire(now + ms(2_200)).len(), 3);
+    assert!(usable(&registry).is_empty());
+}
+
+/// Guards against work at a server whose entry alone was removed while others serve.
+#[test]
+fn single_missing_server_is_not_used() {
+    let (mut registry, now) = (registry(), Instant::now());
+    for host in 1..=3 {
+        registry.learn(backend(&format!("i-{host}"), host), 1, now);
+    }
+    let removed = registry.removed(&"i-2".parse().unwrap(), 2, now);
+    assert_eq!(removed, Some(Change::Missing));
+    assert_eq!(usable(&registry), ["i-1.1", "i-3.1"]);
+    assert_eq!(
+        registry.learn(backend("i-2", 2), 3, now),
+        Some(Change::Returned)
+    );
+    assert_eq!(usable(&registry).len(), 3);
+}
+
+/// Guards against news that arrives late and brings back what was overwritten.
+#[test]
+fn older_news_is_ignored() {
+    let (mut registry, now) = (registry(), Instant::now());
+    let mut draining = backend("i-1", 1);
+    draining.phase = Phase::Draining;
+    registry.learn(draining, 5, now);
+    assert_eq!(registry.learn(backend("i-1", 1), 4, now), None);
+    assert!(usable(&registry).is_empty());
+}
+
+/// Guards against requests for a server whose address another one has taken over.
+#[test]
+fn address_belongs_to_the_last_server() {
+    let (mut registry, now) = (registry(), Instant::now());
+    registry.learn(backend("i-old", 1), 1, now);
+    registry.learn(backend("i-new", 1), 2, now);
+    assert_eq!(usable(&registry), ["i-new.1"]);
+    assert_eq!(
+        registry
+            .at(backend("i", 1).address)
+            .unwrap()
+            .backend
+            .id
+            .as_str(),
+        "i-new"
+    );
+}
+
+/// Guards against measurements of one run of a server that are used for the next.
+#[test]
+fn restart_under_the_same_id_is_another_server() {
+    let (mut registry, now) = (registry(), Instant::now());
+    registry.learn(backend("i-1", 1), 1, now);
+    let mut again = backend("i-1", 1);
+    again.born = Some(2);
+    assert_eq!(registry.learn(again, 2, now), Some(Change::Joined));
+    assert_eq!(usable(&registry), ["i-1.2"]);
+    assert!(registry.named(&"i-1.1".parse().unwrap()).is_none());
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        class: name.parse().unwrap(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        parts: vec![Part {
+            service: "deep".parse().unwrap(),
+            weight: 1.0,
+        }],
+        idempotent: true,
+        timeout: ms(1_000),
+        target: ms(500),
+        attempts: 2,
+        importance: 0,
+    }
+}
+
+fn table(routes: Vec<Route>) -> Result<RouteTable, Error> {
+    let service = Service { connections: 10 };
+    let services = [("deep".parse().unwrap(), service)].into();
+    let bounds = Bounds {
+        body_bytes: 10,
+        idle: ms(1_000),
+    };
+    RouteTable::new(Revision(1), routes, services, bounds)
+}
+
+/// Guards against a request that takes a route with a shorter prefix or of another host.
+#[test]
+fn longest_prefix_of_the_host_is_found() {
+    let routes = vec![
+        route("all", "a.example", "/"),
+        route("long", "a.example", "/x/y/"),
+        route("short", "A.example", "/x/"),
+        route("other", "b.example", "/x/y/z/"),
+    ];
+    let table = table(routes).unwrap();
+    for (host, path, class) in [
+        ("a.example", "/x/y/z/1", "long"),
+        ("a.example:8080", "/x/y", "short"),
+        ("A.EXAMPLE", "/x/1", "short"),
+        ("a.example", "/xy/", "all"),
+        ("b.example", "/x/y/z/", "other"),
+    ] {
+        let found = table.find(host, path).map(|r| r.class.as_str());
+        assert_eq!(found, Some(class), "{host} {path}");
+    }
+    assert!(table.find("b.example", "/x/").is_none());
+    assert!(table.find("c.example", "/").is_none());
+}
+
+/// Guards against an inconsistent set of routes that is put in effect.
+#[test]
+fn faults_of_routes_are_found() {
+    let open = route("a", "h", "/open");
+    assert!(matches!(table(vec![open]), Err(Error::Prefix(_))));
+    let twice = vec![route("a", "h", "/"), route("b", "H", "/")];
+    assert!(matches!(table(twice), Err(Error::Twice(_))));
+    let mut unknown = route("a", "h", "/");
+    unknown.parts[0].service = "other".parse().unwrap();
+    assert!(matches!(table(vec![unknown]), Err(Error::Service(..))));
+    let mut empty = route("a", "h", "/");
+    empty.parts.clear();
+    assert!(matches!(table(vec![empty]), Err(Error::Range(..))));
+    let mut weight = route("a", "h", "/");
+    weight.parts[0].weight = f64::NAN;
+    assert!(matches!(table(vec![weight]), Err(Error::Range(..))));
+}
+
+/// Guards against shares that drift from the weights over any stretch of requests.
+#[test]
+fn shares_follow_the_weights_in_every_window() {
+    let part = |weight| Part {
+        service: "deep".parse().unwrap(),
+        weight,
+    };
+    let parts = [part(70.0), part(20.0), part(10.0)];
+    for seed in 0..20 {
+        let mut split = Split::new(&parts, &mut fastrand::Rng::with_seed(seed));
+        let chosen: Vec<_> = (0..1_000).map(|_| split.next(&parts)).collect();
+        for window in chosen.windows(100) {
+            let first = window.iter().filter(|at| **at == 0).count();
+            assert!((67..=73).contains(&first), "{first}");
+        }
+    }
+}
+
+/// Guards against extra arrivals beyond the budget in any window, whatever the rhythm.
+#[test]
+fn no_window_exceeds_the_budget() {
+    let budget = Budget {
+        ratio: 0.1,
+        slack: 5.0,
+        window: Duration::from_secs(10),
+    };
+    let start = Instant::now();
+    let mut window = RetryWindow::default();
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut spent = Vec::new();
+    for n in 0..10_000 {
+        let now = start + ms(n * 7);
+        if rng.bool() {
+            window.request(&budget, now);
+        }
+        if window.spend(&budget, 1.0, now) {
+            spent.push(now);
+        }
+    }
+    // 10 s hold 1,429 steps and about half as many requests.
+    for (at, first) in spent.iter().enumerate() {
+        let within = spent[at..]
+            .iter()
+            .take_while(|t| **t < *first + budget.window);
+        assert!(within.count() <= 95, "from {at}");
+    }
+}
