Log decisions to standard output without waiting, serve counters and histograms

Cause: the users' engineers have only logs and metrics. Lines went to standard error one by one and could block; refusals, repeats and failures had no line.

One line for each refusal, repeat, failure and unusable answer with id, class, inputs and outcome. /metrics and /dump on the metrics address.

--- a/src/commands/log.rs
+++ b/src/commands/log.rs
@@ -8,8 +8,11 @@
 };
 use serde_json::Map;
 
-use super::{Error, Result};
-use crate::state::settings::{Log, LogFormat};
+use super::{Error, Result, sink::Sink};
+use crate::{
+    state::settings::{Log, LogFormat},
+    transport::mesh::REQUEST,
+};
 
 /// Starts logging to standard error.
 ///
@@ -28,6 +31,32 @@
     dispatch.apply().map_err(|_| Error::Log)
 }
 
+/// Starts logging to standard output without ever waiting for it; the sink is to be closed last.
+///
+/// Lines of the target [`REQUEST`] are bounded in number.
+///
+/// # Errors
+/// The level is not known, or logging has been started before.
+pub fn setup_stdout(log: &Log) -> Result<Sink> {
+    let level: LevelFilter = log.level.parse().map_err(|_| Error::Log)?;
+    let format = log.format;
+    let sink = Sink::new(std::io::stdout(), dropped);
+    let taking = sink.clone();
+    let output = fern::Output::call(move |record| {
+        let mut line = line(format, SystemTime::now(), record);
+        line.push('\n');
+        taking.take(line, record.target() != REQUEST);
+    });
+    let dispatch = fern::Dispatch::new().level(level).chain(output);
+    dispatch.apply().map_err(|_| Error::Log)?;
+    Ok(sink)
+}
+
+fn dropped(lines: u64) -> String {
+    let time = humantime::format_rfc3339_millis(SystemTime::now());
+    format!("time={time} level=warn target=log msg=\"log lines were dropped\" lines={lines}\n")
+}
+
 /// One log line without its end.
 ///
 /// ```
--- a/src/commands/mesh.rs
+++ b/src/commands/mesh.rs
@@ -109,7 +109,13 @@
 }
 
 fn start<P: Platform>(platform: &P, settings: Settings) -> Result<()> {
-    logging::setup(&Log::default())?;
+    let sink = logging::setup_stdout(&Log::default())?;
+    let ended = run_node(platform, settings);
+    sink.close();
+    ended
+}
+
+fn run_node<P: Platform>(platform: &P, settings: Settings) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(Error::Runtime)?;
     LocalSet::new().block_on(&runtime, serve(platform, settings))
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -10,6 +10,7 @@
 pub mod node;
 pub mod report;
 pub mod settings;
+pub mod sink;
 pub mod yaml;
 
 pub use error::{Error, Result, finish};
--- /dev/null
+++ b/src/state/histogram.rs
@@ -0,0 +1,59 @@
+//! Latency histograms with fixed buckets.
+
+use std::{cell::Cell, fmt, time::Duration};
+
+/// Upper bounds of the buckets in ms; a last bucket holds the rest.
+pub const BOUNDS_MS: [u64; 13] = [
+    1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000,
+];
+
+/// Number of times by bucket, and their sum.
+#[derive(Debug, Default)]
+pub struct Histogram {
+    buckets: [Cell<u64>; BOUNDS_MS.len() + 1],
+    sum_us: Cell<u64>,
+}
+
+impl Histogram {
+    /// Adds one time.
+    ///
+    /// ```
+    /// use comfreybay::state::histogram::Histogram;
+    /// use std::time::Duration;
+    /// let histogram = Histogram::default();
+    /// histogram.record(Duration::from_millis(3));
+    /// assert_eq!(histogram.count(), 1);
+    /// assert!(histogram.text("x").contains("x_ms_bucket{le=\"5\"} 1"));
+    /// ```
+    pub fn record(&self, time: Duration) {
+        let us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let at = BOUNDS_MS.partition_point(|bound| bound * 1_000 < us);
+        self.buckets[at].set(self.buckets[at].get() + 1);
+        self.sum_us.set(self.sum_us.get().saturating_add(us));
+    }
+
+    /// Number of times recorded.
+    pub fn count(&self) -> u64 {
+        self.buckets.iter().map(Cell::get).sum()
+    }
+
+    /// The histogram as lines of text, each bucket with all below it.
+    pub fn text(&self, name: &str) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = self.write(&mut text, name);
+        text
+    }
+
+    fn write(&self, text: &mut impl fmt::Write, name: &str) -> fmt::Result {
+        let mut below = 0;
+        for (bound, bucket) in BOUNDS_MS.iter().zip(&self.buckets) {
+            below += bucket.get();
+            writeln!(text, "{name}_ms_bucket{{le=\"{bound}\"}} {below}")?;
+        }
+        let (count, sum_ms) = (self.count(), self.sum_us.get() as f64 / 1_000.0);
+        writeln!(text, "{name}_ms_bucket{{le=\"+Inf\"}} {count}")?;
+        writeln!(text, "{name}_ms_sum {sum_ms}")?;
+        writeln!(text, "{name}_ms_count {count}")
+    }
+}
--- a/src/state/mesh/registry.rs
+++ b/src/state/mesh/registry.rs
@@ -195,6 +195,11 @@
         self.names.get(name)
     }
 
+    /// The latest revision of the store at which anything was read.
+    pub fn revision(&self) -> u64 {
+        self.beliefs.values().map(|b| b.revision).max().unwrap_or(0)
+    }
+
     /// All beliefs.
     pub fn iter(&self) -> impl Iterator<Item = &Belief> {
         self.beliefs.values()
--- a/src/state/mesh/settings.rs
+++ b/src/state/mesh/settings.rs
@@ -37,6 +37,8 @@
     pub server: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Listener for counters, histograms and the state dump.
+    pub metrics: Option<SocketAddr>,
     /// Bounds that the platform sets.
     pub promises: Promises,
 }
@@ -55,13 +57,14 @@
     /// # Errors
     /// Two listeners have the same address, or an address has no port.
     pub fn checked(self) -> Result<Self> {
-        let all = [
+        let mut all = vec![
             self.outbound,
             self.inbound,
             self.ready,
             self.server,
             self.store,
         ];
+        all.extend(self.metrics);
         if let Some(at) = all.iter().find(|a| a.port() == 0) {
             return Err(Fault(format!("address {at} has no port")));
         }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,6 +7,7 @@
 pub mod counters;
 mod error;
 pub mod held;
+pub mod histogram;
 pub mod id;
 pub mod journal;
 pub mod level;
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, Response, StatusCode, response};
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     coordination::router::{Attempt, Pick},
@@ -34,6 +34,7 @@
     order::Order,
     server::{OTHER_INSTANCE, serve},
     shared::Mesh,
+    trace::{self, Sent},
 };
 
 /// Nodes that may refuse one request for lack of room before the refusal is passed on.
@@ -50,14 +51,38 @@
     order: &Order,
     parent: Option<&ClassName>,
 ) -> Reply {
+    let arrived = Instant::now();
     let service = mesh.part(route);
     mesh.count_request(&service);
+    let mut sent = Sent {
+        service: service.clone(),
+        last: String::new(),
+        attempts: 0,
+    };
+    let reply = attempts(mesh, route, order, parent, &mut sent).await;
+    trace::answered(mesh, route, order, &reply, &sent, arrived);
+    mesh.latency.answered(reply.outcome, arrived.elapsed());
+    reply
+}
+
+async fn attempts<N: Net, D>(
+    mesh: &Mesh<N, D>,
+    route: &Route,
+    order: &Order,
+    parent: Option<&ClassName>,
+    sent: &mut Sent,
+) -> Reply {
     let mut tries = Tries::default();
     loop {
-        let Some(pick) = mesh.router.pick(&service, order.priority(), &tries.names) else {
-            return tries.give_up(mesh, &service);
+        let Some(pick) = mesh
+            .router
+            .pick(&sent.service, order.priority(), &tries.names)
+        else {
+            return tries.give_up(mesh);
         };
         let name = pick.upstream().name.clone();
+        sent.attempts += 1;
+        sent.last = name.to_string();
         let reply = send(mesh, pick, order, parent).await;
         if reply.leaving {
             mesh.rest(&name);
@@ -66,9 +91,13 @@
             mesh.replaced(&name);
         }
         tries.names.insert(name);
-        match tries.next(mesh, route, &service, order, reply) {
+        match tries.next(mesh, route, &sent.service, order, reply) {
             Next::Answer(reply) => return *reply,
-            Next::Again => {}
+            Next::Again => {
+                if let Some(reply) = &tries.last {
+                    trace::again(mesh, order, &sent.last, reply);
+                }
+            }
         }
     }
 }
@@ -146,12 +175,11 @@
     }
 
     /// No other backend server is left to ask.
-    fn give_up<N: Net, D>(mut self, mesh: &Mesh<N, D>, service: &ServiceName) -> Reply {
+    fn give_up<N: Net, D>(mut self, mesh: &Mesh<N, D>) -> Reply {
         if let Some(reply) = self.last.take() {
             return self.proven(reply);
         }
         mesh.counters.add(Counter::RefusedNoRoute, 1);
-        log::info!(service:%; "request refused: no backend server is known");
         Reply::not_run(0, "no-backend", Duration::from_millis(NO_BACKEND_MS))
     }
 }
@@ -210,7 +238,8 @@
             unanswered("unreachable")
         }
         Ok(Err(error)) => {
-            log::info!(class:% = order.class, to:%, error:%; "connection to a node broke");
+            let id = order.id(&mesh.names.attempt);
+            log::info!(target: trace::REQUEST, id, class:% = order.class, to:%, error:%; "connection to a node broke");
             finish(pick, Reply::failed("connection-lost"))
         }
         Ok(Ok(response)) => answered(mesh, pick, order, parent, response).await,
--- /dev/null
+++ b/src/transport/mesh/metrics.rs
@@ -0,0 +1,157 @@
+//! Latencies of a node, and the listener for counters, histograms and the state dump.
+
+use std::{
+    fmt::Write,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use crate::{
+    protocol::outcome::Outcome,
+    state::{histogram::Histogram, mesh::registry::Belief},
+};
+
+use super::{
+    super::{net::Net, server::Handler},
+    shared::Mesh,
+};
+
+/// Prefix of all names.
+const PREFIX: &str = "comfreybay";
+
+/// Latencies of the requests at one node.
+#[derive(Debug, Default)]
+pub struct Latency {
+    complete: Histogram,
+    not_run: Histogram,
+    failed: Histogram,
+    unknown: Histogram,
+    waited: Histogram,
+    ran: Histogram,
+}
+
+impl Latency {
+    /// Records the answer to a request that began here.
+    pub fn answered(&self, outcome: Outcome, time: Duration) {
+        let histogram = match outcome {
+            Outcome::Complete => &self.complete,
+            Outcome::NotRun => &self.not_run,
+            Outcome::Failed => &self.failed,
+            Outcome::Unknown => &self.unknown,
+        };
+        histogram.record(time);
+    }
+
+    /// Records the wait for admission to the backend server.
+    pub fn waited(&self, time: Duration) {
+        self.waited.record(time);
+    }
+
+    /// Records the time that the backend server took.
+    pub fn ran(&self, time: Duration) {
+        self.ran.record(time);
+    }
+
+    fn text(&self) -> String {
+        let all = [
+            ("answer_complete", &self.complete),
+            ("answer_not_run", &self.not_run),
+            ("answer_failed", &self.failed),
+            ("answer_unknown", &self.unknown),
+            ("admission_wait", &self.waited),
+            ("server_time", &self.ran),
+        ];
+        let text = all
+            .iter()
+            .map(|(name, h)| h.text(&format!("{PREFIX}_{name}")));
+        text.collect()
+    }
+}
+
+/// Answers operators.
+pub struct Metrics<N, D>(pub Rc<Mesh<N, D>>);
+
+impl<N: Net, D: 'static> Handler for Metrics<N, D> {
+    type Body = Full<Bytes>;
+
+    fn accepts(&self, _from: IpAddr) -> bool {
+        true
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        _from: SocketAddr,
+    ) -> Response<Full<Bytes>> {
+        match request.uri().path() {
+            "/metrics" => text(self.metrics()),
+            "/dump" => text(format!("{:#}\n", self.dump())),
+            _ => {
+                let mut response = text("not found\n".to_owned());
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                response
+            }
+        }
+    }
+}
+
+impl<N: Net, D> Metrics<N, D> {
+    fn metrics(&self) -> String {
+        let mut text = String::new();
+        for (counter, value) in self.0.counters.iter() {
+            let name = counter.name().replace(['.', '-'], "_");
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "{PREFIX}_{name} {value}");
+        }
+        text + &self.0.latency.text()
+    }
+
+    fn dump(&self) -> Value {
+        let mesh = &self.0;
+        let now = Instant::now();
+        let registry = mesh.registry.borrow();
+        let routes = mesh.routes.borrow();
+        json!({
+            "name": mesh.settings.name,
+            "service": mesh.settings.service,
+            "zone": mesh.settings.zone,
+            "ready": mesh.is_ready(),
+            "leaving": mesh.leaving.get(),
+            "routes": routes.as_ref().map(|table| table.revision()),
+            "gate": { "load": mesh.gate.load().to_string(), "level": mesh.gate.level() },
+            "server": { "connections": mesh.pool.open(), "down": mesh.health.is_down() },
+            "links": mesh.links.open(),
+            "backends": registry.iter().map(|b| backend(b, now)).collect::<Vec<_>>(),
+            "upstreams": mesh.router.rows(),
+        })
+    }
+}
+
+fn backend(belief: &Belief, now: Instant) -> Value {
+    let age = |at: Instant| now.duration_since(at).as_millis() as u64;
+    json!({
+        "id": belief.backend.id.as_str(),
+        "service": belief.backend.service,
+        "address": belief.backend.address,
+        "phase": format!("{:?}", belief.backend.phase).to_lowercase(),
+        "slots": belief.backend.slots,
+        "revision": belief.revision,
+        "age_ms": age(belief.since),
+        "missing_ms": belief.missing.map(age),
+    })
+}
+
+fn text(text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(text));
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -6,11 +6,14 @@
 mod attempt;
 mod follow;
 mod inbound;
+mod metrics;
 pub mod node;
 mod order;
 mod outbound;
 mod ready;
 mod server;
 mod shared;
+mod trace;
 
 pub use shared::Mesh;
+pub use trace::REQUEST;
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -19,6 +19,7 @@
     },
     follow,
     inbound::Inbound,
+    metrics::Metrics,
     outbound::Outbound,
     ready::Ready,
     shared::Mesh,
@@ -89,6 +90,18 @@
         &asked,
     );
 
+    if let Some(at) = at.metrics {
+        let bound = bind(&mesh.net, at).await?;
+        spawn(
+            &listening,
+            bound,
+            version,
+            most,
+            Metrics(mesh.clone()),
+            &asked,
+        );
+    }
+
     stop.cancelled().await;
     leave(&mesh, &serving, &calls).await;
     asked.refuse.cancel();
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -36,6 +36,7 @@
     attempt,
     order::Order,
     shared::Mesh,
+    trace,
 };
 
 /// Part of the latency target that a caller's request may wait for a slot.
@@ -138,7 +139,7 @@
             && let Some(service) = mesh.refusing(&route.class, order.priority())
         {
             mesh.counters.add(Counter::RefusedChain, 1);
-            log::info!(id = order.id(&mesh.names.attempt), class:% = route.class, priority:% = order.priority(), service:%; "request refused: the level of a service below excludes it");
+            trace::excluded(mesh, &order, &service);
             return Reply::not_run(0, "level-below", Duration::from_millis(LEVEL_RETURN_MS));
         }
         let parent = parent.as_ref().map(|parent| &parent.class);
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -30,6 +30,7 @@
     },
     order::Order,
     shared::Mesh,
+    trace,
 };
 
 /// Connections tried for one request when the server has closed those that were idle.
@@ -56,10 +57,15 @@
         span: order.patience * 2,
         fingerprint,
     };
-    let mut permit = match mesh.gate.admit(ask).await {
+    let asked = Instant::now();
+    let admitted = mesh.gate.admit(ask).await;
+    mesh.latency.waited(asked.elapsed());
+    let mut permit = match admitted {
         Ok(permit) => permit,
         Err(refusal) => {
             mesh.counters.add(why_counter(refusal.why), 1);
+            let load = mesh.gate.load();
+            trace::not_admitted(mesh, order, refusal.why, load, asked.elapsed());
             return Reply::refused(&refusal, 0);
         }
     };
@@ -70,15 +76,15 @@
             ONCE_IDLE_MS
         });
         let Ok(leased) = timeout_at(order.deadline, mesh.pool.lease_idle(idle)).await else {
-            return refused(mesh, Why::Deadline);
+            return refused(mesh, order, Why::Deadline);
         };
         let Ok(lease) = leased else {
             mesh.health.refused();
-            return refused(mesh, Why::Down);
+            return refused(mesh, order, Why::Down);
         };
         if order.left().is_zero() {
             lease.reuse();
-            return refused(mesh, Why::Deadline);
+            return refused(mesh, order, Why::Deadline);
         }
         match exchange(mesh, order, instance, permit, lease).await {
             Sent::Ended(reply) => return *reply,
@@ -86,11 +92,12 @@
         }
     }
     mesh.health.refused();
-    refused(mesh, Why::Down)
+    refused(mesh, order, Why::Down)
 }
 
-fn refused<N, D>(mesh: &Mesh<N, D>, why: Why) -> Reply {
+fn refused<N, D>(mesh: &Mesh<N, D>, order: &Order, why: Why) -> Reply {
     mesh.counters.add(why_counter(why), 1);
+    trace::not_admitted(mesh, order, why, mesh.gate.load(), Duration::ZERO);
     Reply::not_run(0, why_text(why), Duration::ZERO)
 }
 
@@ -204,6 +211,7 @@
             Ok(Ok(started)) => started,
         };
         let own = self.sent.elapsed();
+        self.mesh.latency.ran(own);
         let not_run = self.is_not_run(&head);
         let is_last = head.headers.get(CONNECTION).is_some_and(|v| v == "close");
         let body = match started {
@@ -264,7 +272,7 @@
         drop(lease);
         self.mesh.health.lost(self.permit, self.sent.elapsed());
         self.mesh.counters.add(Counter::AnswersBroken, 1);
-        log::info!(class:% = self.order.class, cause; "answer of the backend server is not usable");
+        trace::unusable(self.mesh, self.order, cause, self.sent.elapsed());
         Reply::failed("server-lost")
     }
 }
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -33,11 +33,14 @@
     },
 };
 
-use super::super::{
-    health::{Health, Watched},
-    link::Links,
-    net::Net,
-    pool::Pool,
+use super::{
+    super::{
+        health::{Health, Watched},
+        link::Links,
+        net::Net,
+        pool::Pool,
+    },
+    metrics::Latency,
 };
 
 /// Part of the drain bound during which a server whose entry is missing may still get work; the
@@ -88,6 +91,8 @@
     pub leaving: Cell<bool>,
     /// Counters and gauges.
     pub counters: Rc<Counters>,
+    /// Latencies.
+    pub latency: Latency,
     /// Bytes of request bodies in memory.
     pub buffered: Rc<Cell<usize>>,
     /// Random numbers.
@@ -127,6 +132,7 @@
             listed: Cell::new(false),
             leaving: Cell::new(false),
             counters,
+            latency: Latency::default(),
             buffered: Rc::default(),
             rng: RefCell::new(rng),
             calls: RefCell::default(),
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -23,6 +23,7 @@
 pub const INBOUND: u16 = 9002;
 pub const READY: u16 = 9003;
 pub const SERVER: u16 = 9004;
+pub const METRICS: u16 = 9005;
 
 /// All that the stand-in store was told, in order; the revision is the position after an item.
 #[derive(Default)]
@@ -268,6 +269,7 @@
             ready: at(READY),
             server: at(SERVER),
             store: STORE,
+            metrics: Some(at(METRICS)),
             promises: Promises {
                 drain: Duration::from_secs(2),
                 grace: Duration::from_secs(6),
