Send no calls to nodes that can't be reached, probe them apart from requests

Ejection has no effect below half of a service, so two calls in three waited 500 ms for a dial that failed, within a time limit of 700 ms. A node whose server is down refuses at once and so looked the least loaded.

Ruled out: the level of the service (it did cut, at the node that was left).

Change: an upstream to which a dial failed gets no calls for 2 s while another can be reached; the node dials it in the background. Nodes that stop or whose server is down rest for 500 ms. Pings between nodes after 500 ms instead of 1 s of silence, with 1 s to answer. Changes of the admission level are logged.

--- a/src/commands/sink.rs
+++ b/src/commands/sink.rs
@@ -18,8 +18,8 @@
 /// Longest time that the end of the process waits for the last lines.
 const CLOSE_WAIT_MS: u64 = 500;
 /// Lines that may be written per second on average, and at once. At about 300 bytes a line this
-/// is 60 KB/s, which costs a process under 1% of a core.
-const LINES_PER_S: f64 = 200.0;
+/// is 30 KB/s, which costs a process under 1% of a core.
+const LINES_PER_S: f64 = 100.0;
 const LINES_BURST: f64 = 1_000.0;
 
 /// Bound on the number of lines.
--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -188,6 +188,22 @@
         }
     }
 
+    /// Notes whether connections to an upstream can be opened.
+    pub fn learn_reachable(&self, upstream: &UpstreamName, reachable: bool) {
+        let now = Instant::now();
+        if let Some(service) = self.inner.borrow_mut().service_of(upstream) {
+            service.table.learn_reachable(upstream, reachable, now);
+        }
+    }
+
+    /// The upstreams to which no connection could be opened a moment ago.
+    pub fn unreachable(&self) -> Vec<Rc<Upstream>> {
+        let now = Instant::now();
+        let inner = self.inner.borrow();
+        let tables = inner.services.values().map(|s| &s.table);
+        tables.flat_map(|t| t.unreachable(now)).cloned().collect()
+    }
+
     /// Takes over what the instance list says about a service.
     pub fn learn_list(&self, service: &ServiceName, listed: &[Listed]) {
         let inner = &mut *self.inner.borrow_mut();
--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -29,6 +29,9 @@
 const REPORT_TTL: Duration = Duration::from_millis(2_500);
 /// Waiting calls per slot that a report can claim.
 const QUEUED_MAX: f64 = 4.0;
+/// Time for which an upstream to which no connection could be opened gets no calls while others
+/// can be reached. A dial that fails takes up to 500 ms of the call that waits for it.
+const UNREACHABLE_TTL: Duration = Duration::from_secs(2);
 /// Time after which a statement of leaving ends unless it is repeated.
 const LEAVING_TTL: Duration = Duration::from_secs(60);
 
@@ -56,6 +59,7 @@
     ejected_until: Option<Instant>,
     ramp_from: Option<Instant>,
     said_leaving: Option<Instant>,
+    unreachable: Option<Instant>,
     report: Option<(Load, Level, Instant)>,
 }
 
@@ -74,6 +78,7 @@
             ejected_until: None,
             ramp_from,
             said_leaving: None,
+            unreachable: None,
             report: None,
         }
     }
@@ -85,6 +90,11 @@
     pub(super) fn ended(&mut self, attempt: Attempt, took: Duration, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let took = took.as_secs_f64();
+        match attempt {
+            Attempt::Unreachable => self.unreachable = Some(now),
+            Attempt::Answered | Attempt::NotRun => self.unreachable = None,
+            Attempt::Lost | Attempt::TimedOut | Attempt::Cancelled => {}
+        }
         match attempt {
             Attempt::Answered => {
                 self.learn_latency(took);
@@ -118,6 +128,17 @@
         self.said_leaving = leaving.then_some(now);
     }
 
+    /// Whether connections to it could or could not be opened.
+    pub(super) fn learn_reachable(&mut self, reachable: bool, now: Instant) {
+        self.unreachable = (!reachable).then_some(now);
+    }
+
+    /// Whether no connection to it could be opened a moment ago.
+    pub(super) fn is_unreachable(&self, now: Instant) -> bool {
+        self.unreachable
+            .is_some_and(|at| now < at + UNREACHABLE_TTL)
+    }
+
     /// Drops all that was reported, after this process was paused.
     pub(super) fn forget(&mut self) {
         self.report = None;
@@ -133,7 +154,8 @@
 
     /// Whether it is absent from the instance list and connections to it fail.
     pub(super) fn is_absent(&self) -> bool {
-        let is_failing = self.failures >= FAILURES_ABSENT || self.ejected_until.is_some();
+        let is_refusing = self.ejected_until.is_some() || self.unreachable.is_some();
+        let is_failing = self.failures >= FAILURES_ABSENT || is_refusing;
         self.listing == Listing::Absent && is_failing
     }
 
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -172,6 +172,19 @@
         }
     }
 
+    /// Notes whether connections to an upstream can be opened.
+    pub fn learn_reachable(&mut self, name: &UpstreamName, reachable: bool, now: Instant) {
+        if let Some(entry) = self.get_mut(name) {
+            entry.learn_reachable(reachable, now);
+        }
+    }
+
+    /// The upstreams to which no connection could be opened a moment ago.
+    pub fn unreachable(&self, now: Instant) -> impl Iterator<Item = &Rc<Upstream>> {
+        let some = self.entries.iter().filter(move |e| e.is_unreachable(now));
+        some.map(|e| &e.upstream)
+    }
+
     /// Takes over the instance list.
     ///
     /// When a large part of the service vanishes at once, the absences are ignored for a time.
@@ -215,7 +228,8 @@
     /// The highest level among the usable upstreams; `None` until each has reported one.
     pub fn level(&self, now: Instant) -> Option<Level> {
         let mut usable = self.active.iter().map(|at| &self.entries[*at]);
-        let highest = usable.try_fold(None, |highest, entry| match entry.is_ejected(now) {
+        let is_out = |e: &Entry| e.is_ejected(now) || e.is_unreachable(now);
+        let highest = usable.try_fold(None, |highest, entry| match is_out(entry) {
             true => Some(highest),
             false => Some(highest.max(Some(entry.level(now)?))),
         });
@@ -244,11 +258,14 @@
         let ejected = entries().filter(|(_, e)| e.is_ejected(now)).count();
         // With less than half of the service left, ejection has no effect.
         let honours = (self.active.len() - ejected) * 2 >= self.active.len();
+        let is_tried = |e: &Entry| !tried.is_empty() && tried.contains(&e.upstream.name);
+        // Failed dials are facts, not guesses, so this holds however few upstreams remain.
+        let is_reached = entries().any(|(_, e)| !is_tried(e) && !e.is_unreachable(now));
         let mut admitting = Candidates::default();
         let mut all = Candidates::default();
         for (at, entry) in entries() {
-            let is_tried = !tried.is_empty() && tried.contains(&entry.upstream.name);
-            if is_tried || honours && entry.is_ejected(now) {
+            let is_out = is_reached && entry.is_unreachable(now);
+            if is_tried(entry) || is_out || honours && entry.is_ejected(now) {
                 continue;
             }
             all.push(at, entry.is_local);
--- a/src/state/upstream/table/tests.rs
+++ b/src/state/upstream/table/tests.rs
@@ -386,3 +386,29 @@
     assert_eq!(used.len(), 100);
     assert!(used.values().all(|n| (15..=75).contains(n)), "{used:?}");
 }
+
+/// Guards against calls that wait for dials to upstreams which could not be reached a moment ago,
+/// where more than half of a service is cut off.
+#[test]
+fn unreachable_upstreams_get_no_calls_while_one_is_reached() {
+    let Driver { mut table, now, .. } = Driver::new(&[0, 0, 0]);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let priority = Priority::new(0, false, RootId([0; 16]));
+    for name in ["u-0", "u-1"] {
+        let name = name.parse().unwrap();
+        table.ended(&name, Attempt::Unreachable, Duration::from_millis(500), now);
+    }
+    let mut pick = |table: &mut UpstreamTable, now| {
+        let picked = table.pick(priority, &BTreeSet::new(), &mut rng, now);
+        picked.unwrap().name.to_string()
+    };
+    for _ in 0..50 {
+        assert_eq!(pick(&mut table, now), "u-2");
+    }
+    let later = now + Duration::from_secs(2);
+    let all: BTreeSet<_> = (0..50).map(|_| pick(&mut table, later)).collect();
+    assert!(
+        all.contains("u-0") && all.contains("u-1"),
+        "they are tried again: {all:?}"
+    );
+}
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -27,9 +27,10 @@
 use super::{net::Net, server::HEAD_MAX_BYTES, tasks::Tasks};
 
 const DIAL_WAIT_MS: u64 = 500;
-const ALIVE_INTERVAL_MS: u64 = 1_000;
+// Pings are sent only while calls wait and nothing is read.
+const ALIVE_INTERVAL_MS: u64 = 500;
 // A paused or cut-off peer is given up after this, as are the calls on its connection.
-const ALIVE_TIMEOUT_MS: u64 = 2_000;
+const ALIVE_TIMEOUT_MS: u64 = 1_000;
 const STREAM_WINDOW_BYTES: u32 = 256 * 1_024;
 const CONNECTION_WINDOW_BYTES: u32 = 4 * 1_024 * 1_024;
 
@@ -97,6 +98,14 @@
         })
     }
 
+    /// Opens a connection to a peer if there is none.
+    ///
+    /// # Errors
+    /// The peer can't be reached.
+    pub async fn open_to(&self, to: SocketAddr) -> Result<(), SendError> {
+        self.sender(to).await.map(drop)
+    }
+
     async fn sender(&self, to: SocketAddr) -> Result<Sender, SendError> {
         let link = self.links.borrow_mut().entry(to).or_default().clone();
         if let Some(sender) = link.open() {
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -7,7 +7,10 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    coordination::router::{Attempt, Pick},
+    coordination::{
+        gate::Why,
+        router::{Attempt, Pick},
+    },
     protocol::{
         call::{read, read_outcome},
         header,
@@ -29,7 +32,7 @@
         body::{Start, start},
         link::SendError,
         net::Net,
-        reply::{Body, Guard, Reply, peer_framing},
+        reply::{Body, Guard, Reply, peer_framing, why_text},
     },
     order::Order,
     server::{OTHER_INSTANCE, serve},
@@ -84,7 +87,7 @@
         sent.attempts += 1;
         sent.last = name.to_string();
         let reply = send(mesh, pick, order, parent).await;
-        if reply.leaving {
+        if is_out(&reply) {
             mesh.rest(&name);
         }
         if reply.why.as_deref() == Some(OTHER_INSTANCE) {
@@ -158,7 +161,7 @@
 
     /// Whether another node may take a request that one has refused.
     fn is_worth_asking(&mut self, reply: &Reply) -> bool {
-        if reply.unanswered || reply.leaving {
+        if reply.unanswered || is_out(reply) {
             self.unreached += 1;
             return self.unreached < UNREACHED_MAX;
         }
@@ -184,6 +187,11 @@
     }
 }
 
+/// Whether the node that refused a request is stopping or its backend server is down.
+fn is_out(reply: &Reply) -> bool {
+    reply.leaving || reply.why.as_deref() == Some(why_text(Why::Down))
+}
+
 /// Time after which a caller is asked to come back to a service without servers.
 const NO_BACKEND_MS: u64 = 500;
 
@@ -234,6 +242,8 @@
     match timeout_at(order.deadline, mesh.links.send(to, request)).await {
         Err(_) => finish(pick, Reply::unknown("deadline")),
         Ok(Err(SendError::Unreachable(_))) => {
+            let id = order.id(&mesh.names.attempt);
+            log::info!(target: trace::REQUEST, id, class:% = order.class, to:%; "node could not be reached");
             pick.finish(Attempt::Unreachable);
             unanswered("unreachable")
         }
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -6,7 +6,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    coordination::gate::GateState, protocol::directory::Directory, state::counters::Counter,
+    coordination::gate::GateState,
+    protocol::directory::Directory,
+    state::{counters::Counter, priority::Level},
 };
 
 use super::{
@@ -26,6 +28,10 @@
 };
 
 const TICK_MS: u64 = 100;
+/// Interval of the attempts to reach nodes that could not be reached; a dial takes up to 500 ms.
+const PROBE_EVERY: Duration = Duration::from_millis(600);
+/// Least time between two log lines about the admission level.
+const LEVEL_EVERY: Duration = Duration::from_secs(1);
 /// Time after a signal to stop in which callers are still served: the platform asks once a second
 /// whether the node is ready and takes it out after two answers that it is not.
 const NOTICE_MS: u64 = 2_300;
@@ -58,6 +64,7 @@
     background.spawn(follow::run(mesh.clone(), end.clone()));
     background.spawn(health::watch(mesh.clone(), end.clone()));
     background.spawn(tick(mesh.clone(), end.clone()));
+    background.spawn(probe(mesh.clone(), end.clone()));
 
     let (calls, asked) = (Stop::default(), Stop::default());
     let serving = Tasks::default();
@@ -132,6 +139,7 @@
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut draining = None;
+    let mut levels = Levels::default();
     loop {
         tokio::select! {
             biased;
@@ -155,11 +163,56 @@
         }
         mesh.end_rests(now);
         mesh.gate.tick();
+        levels.tell(&mesh, now);
         mesh.pool.prune();
         gauges(&mesh);
     }
 }
 
+/// Tries to reach the nodes that could not be reached, so that no request has to.
+async fn probe<N: Net, D: 'static>(mesh: Rc<Mesh<N, D>>, end: CancellationToken) {
+    let probes = Tasks::default();
+    loop {
+        tokio::select! {
+            biased;
+            () = end.cancelled() => break,
+            () = sleep(PROBE_EVERY) => {}
+        }
+        for upstream in mesh.router.unreachable() {
+            let mesh = mesh.clone();
+            probes.spawn(async move {
+                let reached = mesh.links.open_to(upstream.peer).await.is_ok();
+                mesh.router.learn_reachable(&upstream.name, reached);
+                if reached {
+                    log::info!(backend:% = upstream.name, node:% = upstream.peer; "node can be reached again");
+                }
+            });
+        }
+    }
+    probes.abort().await;
+}
+
+/// Logs changes of the admission level, once a second at most while it moves.
+#[derive(Default)]
+struct Levels {
+    told: Option<(Level, Instant)>,
+}
+
+impl Levels {
+    fn tell<N: Net, D>(&mut self, mesh: &Mesh<N, D>, now: Instant) {
+        let level = mesh.gate.level();
+        let (known, at) = self.told.unwrap_or((Level::OPEN, now));
+        let is_opening = level == Level::OPEN;
+        let is_due = self.told.is_none() || is_opening || now >= at + LEVEL_EVERY;
+        if level == known || !is_due {
+            return;
+        }
+        self.told = Some((level, now));
+        let load = mesh.gate.load();
+        log::info!(level:%, load:%, before:% = known; "admission level changed");
+    }
+}
+
 fn gauges<N: Net, D>(mesh: &Mesh<N, D>) {
     let load = mesh.gate.load();
     let gauges = [
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -58,8 +58,8 @@
 /// makes several calls.
 const CALLING_SLACK: f64 = 0.05;
 const LEAF_SLACK: f64 = 0.4;
-/// Time for which a node that is stopping gets no requests; it asks again after that.
-const REST_MS: u64 = 1_000;
+/// Time for which a node that is stopping or whose server is down gets no requests.
+const REST_MS: u64 = 500;
 
 /// The state of one node, shared by its tasks.
 pub struct Mesh<N, D> {
@@ -298,7 +298,8 @@
         below.peek().is_some() && below.all(|s| s == service)
     }
 
-    /// Keeps a stopping node's server from being chosen for a while.
+    /// Keeps the server of a node that is stopping, or a server that is down, from being chosen for a
+    /// while.
     pub fn rest(&self, name: &UpstreamName) {
         let until = Instant::now() + Duration::from_millis(REST_MS);
         self.router.learn_leaving(name, true);
