--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -224,3 +224,80 @@
     let found: Vec<_> = imports(text).into_iter().collect();
     assert_eq!(found, ["commands", "state"]);
 }
+
+/// Guards against names of the platform's wire outside the adapter.
+#[test]
+fn platform_names_stay_in_the_adapter() {
+    let names = [
+        "x-attempt-id",
+        "x-deadline-ms",
+        "x-server-seal",
+        "x-expect-instance",
+        "x-server-load",
+        "x-not-executed",
+        "x-caller-service",
+        "op/config",
+        "kv-range",
+        "kv-watch",
+        "weighted_targets",
+        "route_type",
+        "bind_addresses",
+        "app_addr",
+        "cold_left_s",
+    ];
+    let mut files = vec![];
+    sources(&root().join("src"), &mut files);
+    for file in files {
+        let text = fs::read_to_string(&file).expect("the source is readable");
+        let text = text.to_ascii_lowercase();
+        for name in names {
+            assert!(!text.contains(name), "{} names {name}", file.display());
+        }
+    }
+    let wire = fs::read_to_string(root().join("platform/src/wire.rs")).expect("it is readable");
+    assert!(wire.contains(names[0]), "the names have moved");
+}
+
+/// Guards against an adapter that grows beyond translation.
+#[test]
+fn adapter_only_translates() {
+    let mut files = vec![];
+    sources(&root().join("platform/src"), &mut files);
+    let texts = files
+        .iter()
+        .map(|f| fs::read_to_string(f).expect("the source is readable"));
+    let text: String = texts.collect();
+    assert!(text.lines().count() < 1_500);
+    for word in ["tokio", "sleep", "Instant", "retry", "spawn", "loop {"] {
+        assert!(!text.contains(word), "the adapter contains {word}");
+    }
+}
+
+/// Guards against log lines that the page for operators does not explain.
+#[test]
+fn log_lines_on_a_platform_are_explained() {
+    let page = page("OPERATIONS.md");
+    let mut files = vec![];
+    sources(&root().join("src/transport/mesh"), &mut files);
+    files.push(root().join("src/commands/mesh.rs"));
+    let mut seen = 0;
+    for file in files {
+        let text = fs::read_to_string(&file).expect("the source is readable");
+        for (at, _) in text
+            .match_indices("log::")
+            .filter(|(at, _)| text[*at..].contains(';'))
+        {
+            let call = text[at..].lines().next().unwrap_or_default();
+            let Some(message) = call
+                .rsplit_once("; \"")
+                .and_then(|(_, m)| m.split_once('"'))
+            else {
+                continue;
+            };
+            let first: Vec<_> = message.0.split(':').collect();
+            seen += 1;
+            assert!(page.contains(first[0]), "{}: {}", file.display(), message.0);
+        }
+    }
+    assert!(seen >= 15, "only {seen} lines were found");
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,14 +2,21 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use comfreybay::state::{
-    id::Revision,
-    mesh::{
-        backend::{Backend, Phase},
-        registry::{Change, Patience, Registry},
-        route::{Bounds, Error, Part, Route, RouteTable, Service},
-        split::Split,
-        window::{Budget, RetryWindow},
+use comfreybay::{
+    coordination::router::Router,
+    state::{
+        id::{Revision, RootId, ServiceName},
+        level::Levels,
+        mesh::{
+            backend::{Backend, Phase},
+            registry::{Change, Patience, Registry},
+            route::{Bounds, Error, Part, Route, RouteTable, Service},
+            split::Split,
+            window::{Budget, RetryWindow},
+        },
+        object::Control,
+        priority::{Level, Priority},
+        upstream::Load,
     },
 };
 use tokio::time::Instant;
@@ -236,3 +243,23 @@
         assert!(within.count() <= 95, "from {at}");
     }
 }
+
+/// Guards against an old report of an upstream that hides the fresh level of its service, so that
+/// callers are not refused where they enter but fail further down.
+#[tokio::test(start_paused = true)]
+async fn fresh_level_outweighs_an_old_report() {
+    let rng = fastrand::Rng::with_seed(1);
+    let (own, zone) = ("own".parse().unwrap(), "z".parse().unwrap());
+    let router = Router::new(own, zone, Control::Ranked, rng);
+    let mut registry = registry();
+    registry.learn(backend("i-1", 1), 1, Instant::now());
+    let all = registry.upstreams(PORT);
+    router.replace(all.iter().map(|(name, some)| (name, some.as_slice())));
+    let service: ServiceName = "deep".parse().unwrap();
+    router.learn_load(&"i-1.1".parse().unwrap(), Load::default(), Level::OPEN);
+    tokio::time::advance(Duration::from_secs(2)).await;
+    let levels = Levels([(service.clone(), Level(5))].into());
+    router.learn_levels(&levels);
+    let priority = Priority::new(1, false, RootId([1; 16]));
+    assert_eq!(router.refusing([&service], priority), Some(service));
+}
