Keep levels by class, pass them on first-hand only, and hold one watch

Cause: (1) an old report of an upstream aged to an open level and outweighed the fresh level that answers carry; (2) nodes passed on levels that they had heard in answers to their own callers' requests, so two nodes that send each other requests of one class kept an open level alive for ever. The new line `known level of a service changed` showed the deepest service open everywhere for 7 s while both its gates were closed. Ruled out: a gate that does not close (its level is in the log), and an upstream that is open but idle (both were full). Change: levels are kept by class, in one set for refusals and another that is passed on while recent.

Cause: 2.6 calls a second a node on the second grown site, most of them for servers that join one after the other at the start. Change: one watch for routes and servers, held 1 to 28 s by the size of the fleet; nodes tell each other the revision that they have read; changes that follow each other are read together.

--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -27,10 +27,18 @@
 }
 
 impl Service {
-    /// The level known, by the more permissive of the two sources.
+    /// The level known, by the most permissive of the recent reports.
+    ///
+    /// Reports of upstreams that this node has not called for some time open with age; they count
+    /// only while no answer brings a recent level.
     fn level(&self, now: Instant) -> Option<Level> {
-        let reported = self.table.level(now);
-        reported.max(self.level.map(|known| known.level(now)))
+        match self.level.filter(|known| known.is_recent(now)) {
+            Some(known) => self.table.recent_level(now).max(Some(known.level(now))),
+            None => {
+                let reported = self.table.level(now);
+                reported.max(self.level.map(|known| known.level(now)))
+            }
+        }
     }
 }
 
--- a/src/protocol/directory.rs
+++ b/src/protocol/directory.rs
@@ -78,6 +78,17 @@
     },
 }
 
+impl Item {
+    /// Revision of the store at which it was last changed.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Backend { revision, .. }
+            | Self::Removed { revision, .. }
+            | Self::Routes { revision, .. } => *revision,
+        }
+    }
+}
+
 /// One page of all that the store holds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Page {
@@ -98,32 +109,13 @@
     pub revision: u64,
 }
 
-/// A part of the store that is listed and watched as one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Section {
-    /// The backend servers.
-    Backends,
-    /// The routes.
-    Routes,
-}
-
-impl Section {
-    /// The section as a word for logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Backends => "backends",
-            Self::Routes => "routes",
-        }
-    }
-}
-
 /// Translation between the platform's store and the product's types.
 pub trait Directory: 'static {
     /// Path and query that read a page, the one after the key `after` if given.
-    fn list(&self, section: Section, after: Option<&str>) -> String;
+    fn list(&self, after: Option<&str>) -> String;
 
     /// Path and query that wait up to `wait` for changes after a revision.
-    fn watch(&self, section: Section, revision: u64, wait: Duration) -> String;
+    fn watch(&self, revision: u64, wait: Duration) -> String;
 
     /// Reads a page.
     ///
--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -34,6 +34,8 @@
 pub const ORIGIN: &str = "cb-origin";
 /// Id of the only backend server that may run the request.
 pub const INSTANCE: &str = "cb-instance";
+/// Revision of the latest item that a node has read from the platform's store.
+pub const REVISION: &str = "cb-revision";
 /// Longest useful wait in the queue, in ms.
 pub const PATIENCE_MS: &str = "cb-patience-ms";
 /// Importance of the client request.
--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -128,6 +128,7 @@
     ConfigOlder "config.older" "heads" Total "Heads of an older revision that were offered.",
     ConfigInvalid "config.invalid" "parts" Total "Parts refused for their digest or content.",
     ConfigReads "config.reads" "reads" Total "Reads of the configuration service.",
+    ConfigBehind "config.behind" "reads" Total "Watches renewed because another node has read further.",
     ConfigReadsFailed "config.reads-failed" "reads" Total "Reads of the configuration service that failed.",
     ConfigPulls "config.pulls" "parts" Total "Parts pulled from peers.",
     ConfigReader "config.reader" "flag" Gauge "1 while this node reads the configuration service for its zone.",
--- a/src/state/level.rs
+++ b/src/state/level.rs
@@ -7,7 +7,7 @@
 mod known;
 mod meter;
 
-pub use known::{KnownLevel, aged};
+pub use known::{KnownLevel, aged, is_recent};
 pub use meter::{LevelMeter, QueueWindow};
 
 /// Levels by service, written as `service=level` joined by `;`.
--- a/src/state/level/known.rs
+++ b/src/state/level/known.rs
@@ -26,6 +26,11 @@
     Level(raised.min(u64::from(u32::MAX)) as u32)
 }
 
+/// Whether a report of this age has not begun to open.
+pub fn is_recent(age: Duration) -> bool {
+    age < TTL
+}
+
 /// Level of one service, from the reports of all its upstreams.
 ///
 /// The highest level of the last 100 to 200 ms counts: a level opens at once and closes when all
@@ -60,10 +65,20 @@
         self.heard = now;
     }
 
+    /// Whether a report arrived a moment ago.
+    pub fn is_recent(&self, now: Instant) -> bool {
+        is_recent(self.age(now))
+    }
+
+    /// Time since the last report.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard)
+    }
+
     /// The level now.
     pub fn level(&self, now: Instant) -> Level {
         let level = self.previous.map_or(self.current, |p| p.max(self.current));
-        aged(level, now.saturating_duration_since(self.heard))
+        aged(level, self.age(now))
     }
 }
 
--- a/src/state/mesh/calls.rs
+++ b/src/state/mesh/calls.rs
@@ -1,15 +1,12 @@
-//! Requests at a backend server, and the services that requests lead to.
+//! Requests at a backend server, and the calls that belong to them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::state::{
     held::fingerprint,
-    id::{ClassName, RootId, ServiceName},
+    id::{ClassName, RootId},
 };
 
-/// Classes of which the services are kept; a configuration has fewer.
-const CLASSES_MAX: usize = 4_096;
-
 /// What the calls of a request take over from it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Parent {
@@ -21,11 +18,10 @@
     pub class: ClassName,
 }
 
-/// Requests at the backend server by their ids, and the services below each class.
+/// Requests at the backend server by their ids.
 #[derive(Debug, Default)]
 pub struct Calls {
     running: BTreeMap<String, Parent>,
-    below: BTreeMap<ClassName, BTreeSet<ServiceName>>,
 }
 
 impl Calls {
@@ -54,33 +50,6 @@
         let (parent, _) = id.rsplit_once(mark)?;
         self.running.get(parent)
     }
-
-    /// Takes over the services that an answer to a request of a class names.
-    pub fn reached<'a>(
-        &mut self,
-        class: &ClassName,
-        services: impl Iterator<Item = &'a ServiceName>,
-    ) {
-        if self.below.len() >= CLASSES_MAX && !self.below.contains_key(class) {
-            return;
-        }
-        let known = self.below.entry(class.clone()).or_default();
-        for service in services {
-            if !known.contains(service) {
-                known.insert(service.clone());
-            }
-        }
-    }
-
-    /// The services that requests of a class are known to lead to.
-    pub fn below(&self, class: &ClassName) -> impl Iterator<Item = &ServiceName> {
-        self.below.get(class).into_iter().flatten()
-    }
-
-    /// Forgets the services, after the routes have changed.
-    pub fn forget(&mut self) {
-        self.below.clear();
-    }
 }
 
 /// The client request behind an id: that of the first request in it.
--- /dev/null
+++ b/src/state/mesh/reach.rs
@@ -0,0 +1,109 @@
+//! The services that classes of requests lead to, and the levels told by answers on the way.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use tokio::time::Instant;
+
+use crate::state::{
+    id::{ClassName, ServiceName},
+    level::{KnownLevel, Levels},
+    priority::{Level, Priority},
+};
+
+/// Classes of which the services are kept; a configuration has fewer.
+const CLASSES_MAX: usize = 4_096;
+
+/// A level that excludes a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Excluded {
+    /// The service that has no room.
+    pub service: ServiceName,
+    /// Its level.
+    pub level: Level,
+    /// Time since the last answer that told it.
+    pub age: Duration,
+}
+
+/// Levels by class and service, from the answers to requests of the class.
+///
+/// A node keeps two of these: one for the requests that begin on its instance, which are refused by
+/// it, and one for the calls of its backend server, which is passed on. Passing on the first as well
+/// would let two nodes that send each other requests of one class repeat an old level for ever.
+#[derive(Debug, Default)]
+pub struct Reach {
+    classes: BTreeMap<ClassName, BTreeMap<ServiceName, KnownLevel>>,
+}
+
+impl Reach {
+    /// Takes over the levels of an answer to a request of a class.
+    pub fn learn(&mut self, class: &ClassName, levels: &Levels, now: Instant) {
+        if self.classes.len() >= CLASSES_MAX && !self.classes.contains_key(class) {
+            return;
+        }
+        let known = self.classes.entry(class.clone()).or_default();
+        for (service, level) in &levels.0 {
+            match known.get_mut(service) {
+                Some(known) => known.learn(*level, now),
+                None => {
+                    known.insert(service.clone(), KnownLevel::new(*level, now));
+                }
+            }
+        }
+    }
+
+    /// The levels told a moment ago for a class. Older ones are left out: they have begun to open,
+    /// and would count as news where they arrive.
+    pub fn recent(&self, class: &ClassName, now: Instant) -> Levels {
+        let known = self.classes.get(class).into_iter().flatten();
+        let recent = known.filter(|(_, level)| level.is_recent(now));
+        Levels(recent.map(|(s, l)| (s.clone(), l.level(now))).collect())
+    }
+
+    /// The first service that excludes a request of a class.
+    ///
+    /// ```
+    /// use comfreybay::state::{id::RootId, mesh::reach::Reach, priority::Priority};
+    /// use tokio::time::Instant;
+    /// let (mut reach, now) = (Reach::default(), Instant::now());
+    /// let class = "order".parse()?;
+    /// reach.learn(&class, &"deep=16777216".parse()?, now);
+    /// let priority = |importance| Priority::new(importance, false, RootId([1; 16]));
+    /// assert_eq!(reach.excluding(&class, priority(0), now), None);
+    /// let found = reach.excluding(&class, priority(2), now).expect("a level below it");
+    /// assert_eq!(found.service.as_str(), "deep");
+    /// # Ok::<(), comfreybay::state::Error>(())
+    /// ```
+    pub fn excluding(
+        &self,
+        class: &ClassName,
+        priority: Priority,
+        now: Instant,
+    ) -> Option<Excluded> {
+        let known = self.classes.get(class).into_iter().flatten();
+        let mut levels = known.map(|(s, l)| (s, l.level(now), l));
+        let found = levels.find(|(_, level, _)| !level.admits(priority));
+        found.map(|(service, level, known)| Excluded {
+            service: service.clone(),
+            level,
+            age: known.age(now),
+        })
+    }
+
+    /// The services that requests of a class are known to lead to.
+    pub fn services(&self, class: &ClassName) -> impl Iterator<Item = &ServiceName> {
+        self.classes.get(class).into_iter().flat_map(BTreeMap::keys)
+    }
+
+    /// All levels by class.
+    pub fn all(&self, now: Instant) -> impl Iterator<Item = (&ClassName, &ServiceName, Level)> {
+        let services = self.classes.iter();
+        services.flat_map(move |(class, known)| {
+            known.iter().map(move |(s, l)| (class, s, l.level(now)))
+        })
+    }
+
+    /// Forgets all, after the routes have changed.
+    pub fn forget(&mut self) {
+        self.classes.clear();
+    }
+}
--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -6,7 +6,7 @@
 
 use super::{
     super::{
-        level::aged,
+        level::{aged, is_recent},
         object::Upstream,
         priority::{Level, Priority},
     },
@@ -180,6 +180,12 @@
         Some(aged(level, now.saturating_duration_since(at)))
     }
 
+    /// The level reported a moment ago.
+    pub(super) fn recent_level(&self, now: Instant) -> Option<Level> {
+        let (_, level, at) = self.report?;
+        is_recent(now.saturating_duration_since(at)).then_some(level)
+    }
+
     pub(super) fn latency(&self) -> Option<f64> {
         self.latency
     }
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -236,6 +236,12 @@
         highest.flatten()
     }
 
+    /// The highest level among the recent reports.
+    pub fn recent_level(&self, now: Instant) -> Option<Level> {
+        let entries = self.active.iter().map(|at| &self.entries[*at]);
+        entries.filter_map(|e| e.recent_level(now)).max()
+    }
+
     /// Upstreams that calls may go to.
     pub fn active(&self) -> impl Iterator<Item = &Upstream> {
         self.active.iter().map(|at| &*self.entries[*at].upstream)
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -214,7 +214,7 @@
     if pick.upstream().public == mesh.settings.server {
         let reply = serve(mesh, order, &instance).await;
         let levels = mesh.levels(Some(&order.class));
-        mesh.learn_levels([Some(&order.class), parent], &levels);
+        mesh.learn_levels(&order.class, parent, &levels);
         let ended = reply.attempt();
         pick.finish(ended);
         return reply;
@@ -239,6 +239,7 @@
         }
     };
     order.write(instance, request.headers_mut());
+    mesh.write_progress(request.headers_mut());
     match timeout_at(order.deadline, mesh.links.send(to, request)).await {
         Err(_) => finish(pick, Reply::unknown("deadline")),
         Ok(Err(SendError::Unreachable(_))) => {
@@ -277,10 +278,11 @@
     response: Response<Incoming>,
 ) -> Reply {
     let (head, body) = response.into_parts();
+    mesh.learn_progress(&head.headers);
     let Ok(outcome) = read_outcome(&head.headers) else {
         return finish(pick, Reply::failed("malformed-answer"));
     };
-    learn(mesh, &pick, [Some(&order.class), parent], &head.headers);
+    learn(mesh, &pick, &order.class, parent, &head.headers);
     if outcome != Outcome::Complete {
         return finish(pick, refused(outcome, &head));
     }
@@ -320,14 +322,15 @@
 fn learn<N: Net, D>(
     mesh: &Mesh<N, D>,
     pick: &Pick,
-    classes: [Option<&ClassName>; 2],
+    class: &ClassName,
+    parent: Option<&ClassName>,
     headers: &HeaderMap,
 ) {
     let levels: Option<Levels> = read(headers, header::LEVELS).ok().flatten();
     let levels = levels.unwrap_or_default();
     let Upstream { name, service, .. } = pick.upstream();
     let level = levels.0.get(service).copied().unwrap_or(Level::OPEN);
-    mesh.learn_levels(classes, &levels);
+    mesh.learn_levels(class, parent, &levels);
     let load: Option<Load> = read(headers, header::LOAD).ok().flatten();
     if let Some(load) = load {
         mesh.router.learn_load(name, load, level);
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -8,11 +8,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    protocol::directory::{Directory, DirectoryError, Item, Section},
+    protocol::directory::{Directory, DirectoryError, Item},
     state::{
         counters::Counter,
         mesh::{
             backend::{Backend, InstanceId},
+            progress,
             registry::Change,
             route::RouteTable,
         },
@@ -23,16 +24,15 @@
     super::{
         net::Net,
         platform::{PlatformClient, PlatformError},
-        tasks::Tasks,
     },
     shared::Mesh,
 };
 
-/// Longest time that the store is asked to hold a watch. A connection that has fallen silent is
-/// noticed after it, so it is shorter than the time within which changes have to be in effect.
-const WATCH_MS: u64 = 2_000;
-/// Time beyond it for the answer to a watch.
+/// Time beyond the hold of a watch for its answer.
 const WATCH_EXTRA_MS: u64 = 1_000;
+/// Time for the store's own answer to arrive, after another node was found to have read further.
+/// The store takes some ms to answer; where it is slow, one more read does no harm.
+const BEHIND_MS: u64 = 300;
 const READ_WAIT_MS: u64 = 2_000;
 const ANSWER_MAX_BYTES: usize = 8 * 1_024 * 1_024;
 const BACKOFF_MIN_MS: u64 = 100;
@@ -48,32 +48,31 @@
 
 type Result<T, E = FollowError> = std::result::Result<T, E>;
 
-/// Follows all sections until stopped.
+/// Follows the store until stopped.
 pub async fn run<N: Net, D: Directory>(mesh: Rc<Mesh<N, D>>, end: CancellationToken) {
-    let tasks = Tasks::default();
-    for section in [Section::Backends, Section::Routes] {
-        let follower = Follower {
-            client: PlatformClient::new(mesh.net.clone(), mesh.settings.store),
-            mesh: mesh.clone(),
-            section,
-            lost: None,
-        };
-        let end = end.clone();
-        tasks.spawn(async move {
-            tokio::select! {
-                biased;
-                () = end.cancelled() => {}
-                () = follower.follow() => {}
-            }
-        });
+    let follower = Follower {
+        client: PlatformClient::new(mesh.net.clone(), mesh.settings.store),
+        mesh,
+        lost: None,
+    };
+    tokio::select! {
+        biased;
+        () = end.cancelled() => {}
+        () = follower.follow() => {}
     }
-    tasks.join().await;
+}
+
+/// What became of a watch.
+enum Watched {
+    /// The store answered, up to this revision.
+    To { revision: u64, changed: bool },
+    /// Another node has read further, so the connection may have fallen silent.
+    Behind,
 }
 
 struct Follower<N: Net, D> {
     mesh: Rc<Mesh<N, D>>,
     client: PlatformClient<N>,
-    section: Section,
     lost: Option<Instant>,
 }
 
@@ -81,17 +80,28 @@
     async fn follow(mut self) {
         let mut revision = None;
         let mut backoff = BACKOFF_MIN_MS;
+        let mut pause = Duration::ZERO;
         loop {
+            let started = Instant::now();
             let step = match revision {
                 None => self.list().await,
                 Some(from) => self.watch(from).await,
             };
             match step {
-                Ok(at) => {
+                Ok(Watched::To {
+                    revision: at,
+                    changed,
+                }) => {
                     self.regained();
+                    self.mesh.progress.borrow_mut().read_to(at);
                     revision = Some(at);
                     backoff = BACKOFF_MIN_MS;
+                    if changed {
+                        pause = progress::pause(pause, started.elapsed());
+                        sleep(pause).await;
+                    }
                 }
+                Ok(Watched::Behind) => self.behind(),
                 Err(FollowError::Read(PlatformError::Status(StatusCode::GONE))) => revision = None,
                 Err(error) => {
                     self.failed(&error);
@@ -103,13 +113,13 @@
         }
     }
 
-    async fn list(&mut self) -> Result<u64> {
+    async fn list(&mut self) -> Result<Watched> {
         let wait = Duration::from_millis(READ_WAIT_MS);
         let mut after = None;
         let mut revision = None;
         let mut ids = BTreeSet::new();
         loop {
-            let path = self.mesh.directory.list(self.section, after.as_deref());
+            let path = self.mesh.directory.list(after.as_deref());
             self.mesh.counters.add(Counter::ConfigReads, 1);
             let answer = self.client.get(&path, ANSWER_MAX_BYTES, wait).await?;
             let body = answer.body.unwrap_or_default();
@@ -127,37 +137,48 @@
                 break;
             }
         }
-        if self.section == Section::Backends {
-            let missing = self.mesh.registry.borrow_mut().listed(&ids, Instant::now());
-            for id in missing {
-                log::info!(backend:% = id; "backend server is missing from the list");
-            }
-            self.mesh.listed.set(true);
-            self.mesh.apply_registry();
+        let missing = self.mesh.registry.borrow_mut().listed(&ids, Instant::now());
+        for id in missing {
+            log::info!(backend:% = id; "backend server is missing from the list");
         }
-        Ok(revision.unwrap_or_default())
+        self.mesh.listed.set(true);
+        self.mesh.apply_registry();
+        Ok(Watched::To {
+            revision: revision.unwrap_or_default(),
+            changed: true,
+        })
     }
 
-    async fn watch(&mut self, from: u64) -> Result<u64> {
-        let hold = Duration::from_millis(WATCH_MS);
+    async fn watch(&mut self, from: u64) -> Result<Watched> {
+        let nodes = self.mesh.registry.borrow().len();
+        let hold = progress::hold(nodes, &mut self.mesh.rng.borrow_mut());
         let wait = hold + Duration::from_millis(WATCH_EXTRA_MS);
-        let path = self.mesh.directory.watch(self.section, from, hold);
+        let path = self.mesh.directory.watch(from, hold);
         self.mesh.counters.add(Counter::ConfigReads, 1);
-        let answer = self.client.get(&path, ANSWER_MAX_BYTES, wait).await?;
+        let answer = tokio::select! {
+            biased;
+            answer = self.client.get(&path, ANSWER_MAX_BYTES, wait) => answer?,
+            () = behind(&self.mesh) => return Ok(Watched::Behind),
+        };
         let body = answer.body.unwrap_or_default();
         let changes = self.mesh.directory.changes(&body)?;
-        let mut changed = false;
+        let (mut any, mut changed) = (false, false);
         for item in changes.items {
+            any = true;
             changed |= self.take(item);
         }
-        if changed && self.section == Section::Backends {
+        if changed {
             self.mesh.apply_registry();
         }
-        Ok(changes.revision.max(from))
+        Ok(Watched::To {
+            revision: changes.revision.max(from),
+            changed: any,
+        })
     }
 
     /// Takes over one item; true when a belief about a backend server changed.
     fn take(&self, item: Item) -> bool {
+        self.mesh.progress.borrow_mut().seen(item.revision());
         match item {
             Item::Backend {
                 entry: Ok(backend),
@@ -233,9 +254,8 @@
 
     fn failed(&mut self, error: &FollowError) {
         self.mesh.counters.add(Counter::ConfigReadsFailed, 1);
-        let section = self.section.as_str();
         if self.lost.is_none() {
-            log::warn!(section, error:%; "store is lost");
+            log::warn!(error:%; "store is lost");
             self.lost = Some(Instant::now());
         }
     }
@@ -245,13 +265,25 @@
             return;
         };
         let away_ms = since.elapsed().as_millis() as u64;
-        let section = self.section.as_str();
-        log::info!(section, away_ms; "store is back");
-        if self.section == Section::Backends {
-            self.mesh
-                .registry
-                .borrow_mut()
-                .store_returned(Instant::now());
+        log::info!(away_ms; "store is back");
+        let mut registry = self.mesh.registry.borrow_mut();
+        registry.store_returned(Instant::now());
+    }
+
+    fn behind(&self) {
+        self.mesh.counters.add(Counter::ConfigBehind, 1);
+        let latest = self.mesh.progress.borrow().latest();
+        log::info!(latest; "another node has read further; the watch is renewed");
+    }
+}
+
+/// Ends when another node has read further for some time.
+async fn behind<N: Net, D>(mesh: &Mesh<N, D>) {
+    loop {
+        mesh.told.notified().await;
+        sleep(Duration::from_millis(BEHIND_MS)).await;
+        if mesh.progress.borrow().is_behind() {
+            return;
         }
     }
 }
--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -46,6 +46,7 @@
         mesh.counters.add(Counter::PeerCalls, 1);
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
+        mesh.learn_progress(&head.headers);
         let told = match Head::read(&head.headers) {
             Ok(told) => told,
             Err(error) => {
@@ -78,6 +79,7 @@
         let headers = response.headers_mut();
         write(headers, header::LOAD, &self.0.gate.load());
         write(headers, header::LEVELS, &self.0.levels(class));
+        self.0.write_progress(headers);
         provable(response)
     }
 }
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -1,6 +1,6 @@
 //! Assembly of one node on a platform.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -8,7 +8,11 @@
 use crate::{
     coordination::gate::GateState,
     protocol::directory::Directory,
-    state::{counters::Counter, priority::Level},
+    state::{
+        counters::Counter,
+        id::{ClassName, ServiceName},
+        priority::Level,
+    },
 };
 
 use super::{
@@ -139,7 +143,7 @@
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut draining = None;
-    let mut levels = Levels::default();
+    let mut levels = LevelLog::default();
     loop {
         tokio::select! {
             biased;
@@ -192,27 +196,46 @@
     probes.abort().await;
 }
 
-/// Logs changes of the admission level, once a second at most while it moves.
+/// Logs changes of the admission levels, once a second at most for each while it moves.
 #[derive(Default)]
-struct Levels {
-    told: Option<(Level, Instant)>,
+struct LevelLog {
+    own: Told,
+    known: BTreeMap<(ClassName, ServiceName), Told>,
 }
 
-impl Levels {
+type Told = Option<(Level, Instant)>;
+
+impl LevelLog {
     fn tell<N: Net, D>(&mut self, mesh: &Mesh<N, D>, now: Instant) {
         let level = mesh.gate.level();
-        let (known, at) = self.told.unwrap_or((Level::OPEN, now));
-        let is_opening = level == Level::OPEN;
-        let is_due = self.told.is_none() || is_opening || now >= at + LEVEL_EVERY;
-        if level == known || !is_due {
-            return;
+        if let Some(before) = news(&mut self.own, level, now) {
+            let load = mesh.gate.load();
+            log::info!(level:%, load:%, before:%; "admission level changed");
+        }
+        let entered = mesh.entered.borrow();
+        for (class, service, level) in entered.all(now) {
+            let told = self
+                .known
+                .entry((class.clone(), service.clone()))
+                .or_default();
+            if let Some(before) = news(told, level, now) {
+                log::info!(class:%, service:%, level:%, before:%; "known level of a service changed");
+            }
         }
-        self.told = Some((level, now));
-        let load = mesh.gate.load();
-        log::info!(level:%, load:%, before:% = known; "admission level changed");
     }
 }
 
+/// The level told before, if the change to `level` is to be told now.
+fn news(told: &mut Told, level: Level, now: Instant) -> Option<Level> {
+    let (before, at) = told.unwrap_or((Level::OPEN, now));
+    let is_due = told.is_none() || level == Level::OPEN || now >= at + LEVEL_EVERY;
+    if level == before || !is_due {
+        return None;
+    }
+    *told = Some((level, now));
+    Some(before)
+}
+
 fn gauges<N: Net, D>(mesh: &Mesh<N, D>) {
     let load = mesh.gate.load();
     let gauges = [
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -136,10 +136,10 @@
         };
         mesh.counters.add(counter, 1);
         if !order.begun
-            && let Some(service) = mesh.refusing(&route.class, order.priority())
+            && let Some(excluded) = mesh.excluding(&route.class, order.priority())
         {
             mesh.counters.add(Counter::RefusedChain, 1);
-            trace::excluded(mesh, &order, &service);
+            trace::excluded(mesh, &order, &excluded);
             return Reply::not_run(0, "level-below", Duration::from_millis(LEVEL_RETURN_MS));
         }
         let parent = parent.as_ref().map(|parent| &parent.class);
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -7,14 +7,19 @@
     time::Duration,
 };
 
-use tokio::time::Instant;
+use http::HeaderMap;
+use tokio::{sync::Notify, time::Instant};
 
 use crate::{
     coordination::{
         gate::{Gate, GateState},
         router::Router,
     },
-    protocol::directory::Names,
+    protocol::{
+        call::{read, write},
+        directory::Names,
+        header,
+    },
     state::{
         counters::{Counter, Counters},
         id::{ClassName, Fingerprint, ServiceName, UpstreamName},
@@ -22,6 +27,8 @@
         mesh::{
             backend::{InstanceId, Phase},
             calls::Calls,
+            progress::Progress,
+            reach::{Excluded, Reach},
             registry::{Patience, Registry},
             route::{Route, RouteTable},
             settings::Settings,
@@ -87,6 +94,10 @@
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// Whether the list of backend servers has been read.
     pub listed: Cell<bool>,
+    /// How far the store has been read, here and by other nodes.
+    pub progress: RefCell<Progress>,
+    /// Signalled when another node has read further.
+    pub told: Notify,
     /// Whether the node is about to stop.
     pub leaving: Cell<bool>,
     /// Counters and gauges.
@@ -97,8 +108,12 @@
     pub buffered: Rc<Cell<usize>>,
     /// Random numbers.
     pub rng: RefCell<fastrand::Rng>,
-    /// Requests at the backend server and the services that they lead to.
+    /// Requests at the backend server.
     pub calls: RefCell<Calls>,
+    /// Levels told by the answers to all requests from this instance.
+    pub entered: RefCell<Reach>,
+    /// Levels told by the answers to calls of the backend server, by the class that made them.
+    pub below: RefCell<Reach>,
     splits: RefCell<BTreeMap<ClassName, Split>>,
     windows: RefCell<BTreeMap<ServiceName, RetryWindow>>,
     resting: RefCell<BTreeMap<UpstreamName, Instant>>,
@@ -130,12 +145,16 @@
             registry: RefCell::new(Registry::new(patience)),
             routes: RefCell::default(),
             listed: Cell::new(false),
+            progress: RefCell::default(),
+            told: Notify::new(),
             leaving: Cell::new(false),
             counters,
             latency: Latency::default(),
             buffered: Rc::default(),
             rng: RefCell::new(rng),
             calls: RefCell::default(),
+            entered: RefCell::default(),
+            below: RefCell::default(),
             splits: RefCell::default(),
             windows: RefCell::default(),
             resting: RefCell::default(),
@@ -172,7 +191,8 @@
     /// Puts routes in effect.
     pub fn apply_routes(&self, table: RouteTable) {
         self.splits.borrow_mut().clear();
-        self.calls.borrow_mut().forget();
+        self.entered.borrow_mut().forget();
+        self.below.borrow_mut().forget();
         let revision = table.revision().0;
         self.counters.set(Counter::ConfigRevision, revision);
         *self.routes.borrow_mut() = Some(Rc::new(table));
@@ -215,6 +235,19 @@
         own.is_some_and(|b| b.backend.phase == Phase::Draining || b.missing.is_some())
     }
 
+    /// Takes over how far another node has read the store.
+    pub fn learn_progress(&self, headers: &HeaderMap) {
+        let revision: Option<u64> = read(headers, header::REVISION).ok().flatten();
+        if revision.is_some_and(|r| self.progress.borrow_mut().told(r)) {
+            self.told.notify_one();
+        }
+    }
+
+    /// Tells another node how far the store has been read.
+    pub fn write_progress(&self, headers: &mut HeaderMap) {
+        write(headers, header::REVISION, &self.progress.borrow().latest());
+    }
+
     /// The id of a backend server that is routed to.
     pub fn instance(&self, name: &UpstreamName) -> Option<InstanceId> {
         self.registry.borrow().named(name).cloned()
@@ -264,11 +297,11 @@
         self.settings.promises.budget
     }
 
-    /// The levels that this node tells on an answer: its own and those below the class.
+    /// The levels that this node tells on an answer: its own and those of the calls of the class.
     pub fn levels(&self, class: Option<&ClassName>) -> Levels {
-        let calls = self.calls.borrow();
+        let below = self.below.borrow();
         let mut levels = match class {
-            Some(class) => self.router.levels(calls.below(class)),
+            Some(class) => below.recent(class, Instant::now()),
             None => Levels::default(),
         };
         let own = self.settings.service.clone();
@@ -277,25 +310,25 @@
     }
 
     /// Takes over the levels of an answer to a request of a class, made for one of another class.
-    pub fn learn_levels(&self, classes: [Option<&ClassName>; 2], levels: &Levels) {
-        self.router.learn_levels(levels);
-        let mut calls = self.calls.borrow_mut();
-        for class in classes.into_iter().flatten() {
-            calls.reached(class, levels.0.keys());
+    pub fn learn_levels(&self, class: &ClassName, parent: Option<&ClassName>, levels: &Levels) {
+        let now = Instant::now();
+        self.entered.borrow_mut().learn(class, levels, now);
+        if let Some(parent) = parent {
+            self.below.borrow_mut().learn(parent, levels, now);
         }
     }
 
-    /// The service that would refuse a request of a class and priority.
-    pub fn refusing(&self, class: &ClassName, priority: Priority) -> Option<ServiceName> {
-        self.router
-            .refusing(self.calls.borrow().below(class), priority)
+    /// The level that excludes a request of a class and priority.
+    pub fn excluding(&self, class: &ClassName, priority: Priority) -> Option<Excluded> {
+        let entered = self.entered.borrow();
+        entered.excluding(class, priority, Instant::now())
     }
 
     /// Whether requests of a class for a service are known to make no calls.
     pub fn is_leaf(&self, class: &ClassName, service: &ServiceName) -> bool {
-        let calls = self.calls.borrow();
-        let mut below = calls.below(class).peekable();
-        below.peek().is_some() && below.all(|s| s == service)
+        let entered = self.entered.borrow();
+        let mut reached = entered.services(class).peekable();
+        reached.peek().is_some() && reached.all(|s| s == service)
     }
 
     /// Keeps the server of a node that is stopping, or a server that is down, from being chosen for a
--- a/src/transport/mesh/trace.rs
+++ b/src/transport/mesh/trace.rs
@@ -7,7 +7,11 @@
 use crate::{
     coordination::gate::Why,
     protocol::outcome::Outcome,
-    state::{id::ServiceName, mesh::route::Route, upstream::Load},
+    state::{
+        id::ServiceName,
+        mesh::{reach::Excluded, route::Route},
+        upstream::Load,
+    },
 };
 
 use super::{super::reply::Reply, order::Order, shared::Mesh};
@@ -16,10 +20,11 @@
 pub const REQUEST: &str = "request";
 
 /// A request that a node refused to send, because a service below has no room for it.
-pub fn excluded<N, D>(mesh: &Mesh<N, D>, order: &Order, service: &ServiceName) {
+pub fn excluded<N, D>(mesh: &Mesh<N, D>, order: &Order, by: &Excluded) {
     let (id, class) = (order.id(&mesh.names.attempt), &order.class);
     let (priority, importance) = (order.priority(), order.importance);
-    log::info!(target: REQUEST, id, class:%, importance, priority:%, service:%; "refused unsent: the level of a service below excludes it");
+    let (service, level, age_ms) = (&by.service, by.level, ms(by.age));
+    log::info!(target: REQUEST, id, class:%, importance, priority:%, service:%, level:%, age_ms; "refused unsent: the level of a service below excludes it");
 }
 
 /// A request that the gate of the backend server refused.
