Serve other nodes during a planned stop, and wait for nodes that start anew

Two nodes beside the last servers of a service were being restarted at the same time. A node refused other nodes 2.3 s after the signal and then waited for its own requests, some of them hung, for 2.7 s more, while no other node can reach its server. Each call failed at once, and with it the work above it. Ruled out: the servers themselves (up), the store (slow only).

Change: a stopping node says so on its answers and is avoided while another node can serve; it serves other nodes until nothing is in progress, at most until 60% of the grace period. A request that no node can take asks again for a moment, as nothing has been sent.

--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -204,6 +204,14 @@
         }
     }
 
+    /// Notes whether the node of an upstream serves but is about to stop.
+    pub fn learn_retiring(&self, upstream: &UpstreamName, retiring: bool) {
+        let now = Instant::now();
+        if let Some(service) = self.inner.borrow_mut().service_of(upstream) {
+            service.table.learn_retiring(upstream, retiring, now);
+        }
+    }
+
     /// The upstreams to which no connection could be opened a moment ago.
     pub fn unreachable(&self) -> Vec<Rc<Upstream>> {
         let now = Instant::now();
--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -28,6 +28,8 @@
 pub const LOAD: &str = "cb-load";
 /// Present when the answering node is leaving.
 pub const LEAVING: &str = "cb-leaving";
+/// Present when the answering node serves but is about to stop.
+pub const RETIRING: &str = "cb-retiring";
 /// Present when a refused request reached the backend server, which refused it itself.
 pub const ARRIVED: &str = "cb-arrived";
 /// Service of the instance where a request began.
--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -32,6 +32,9 @@
 /// Time for which an upstream to which no connection could be opened gets no calls while others
 /// can be reached. A dial that fails takes up to 500 ms of the call that waits for it.
 const UNREACHABLE_TTL: Duration = Duration::from_secs(2);
+/// Time for which a node that is about to stop is avoided; each of its answers renews it. Its
+/// server is in use again soon after the node has started anew.
+const RETIRING_TTL: Duration = Duration::from_secs(1);
 /// Time after which a statement of leaving ends unless it is repeated.
 const LEAVING_TTL: Duration = Duration::from_secs(60);
 
@@ -60,6 +63,7 @@
     ramp_from: Option<Instant>,
     said_leaving: Option<Instant>,
     unreachable: Option<Instant>,
+    retiring: Option<Instant>,
     report: Option<(Load, Level, Instant)>,
 }
 
@@ -79,6 +83,7 @@
             ramp_from,
             said_leaving: None,
             unreachable: None,
+            retiring: None,
             report: None,
         }
     }
@@ -133,6 +138,17 @@
         self.unreachable = (!reachable).then_some(now);
     }
 
+    /// Whether its node still serves but is about to stop.
+    pub(super) fn learn_retiring(&mut self, retiring: bool, now: Instant) {
+        self.retiring = retiring.then_some(now);
+    }
+
+    /// Whether others are preferred to it.
+    pub(super) fn is_avoided(&self, now: Instant) -> bool {
+        let retiring = self.retiring.is_some_and(|at| now < at + RETIRING_TTL);
+        retiring || self.is_unreachable(now)
+    }
+
     /// Whether no connection to it could be opened a moment ago.
     pub(super) fn is_unreachable(&self, now: Instant) -> bool {
         self.unreachable
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Notes whether the node of an upstream serves but is about to stop.
+    pub fn learn_retiring(&mut self, name: &UpstreamName, retiring: bool, now: Instant) {
+        if let Some(entry) = self.get_mut(name) {
+            entry.learn_retiring(retiring, now);
+        }
+    }
+
     /// The upstreams to which no connection could be opened a moment ago.
     pub fn unreachable(&self, now: Instant) -> impl Iterator<Item = &Rc<Upstream>> {
         let some = self.entries.iter().filter(move |e| e.is_unreachable(now));
@@ -265,12 +272,13 @@
         // With less than half of the service left, ejection has no effect.
         let honours = (self.active.len() - ejected) * 2 >= self.active.len();
         let is_tried = |e: &Entry| !tried.is_empty() && tried.contains(&e.upstream.name);
-        // Failed dials are facts, not guesses, so this holds however few upstreams remain.
-        let is_reached = entries().any(|(_, e)| !is_tried(e) && !e.is_unreachable(now));
+        // Failed dials and announced stops are facts, not guesses, so this holds however few
+        // upstreams remain.
+        let has_better = entries().any(|(_, e)| !is_tried(e) && !e.is_avoided(now));
         let mut admitting = Candidates::default();
         let mut all = Candidates::default();
         for (at, entry) in entries() {
-            let is_out = is_reached && entry.is_unreachable(now);
+            let is_out = has_better && entry.is_avoided(now);
             if is_tried(entry) || is_out || honours && entry.is_ejected(now) {
                 continue;
             }
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, Response, StatusCode, response};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
     coordination::{
@@ -45,6 +45,13 @@
 /// Nodes that may turn out to be unreachable or stopping before the request is refused.
 const UNREACHED_MAX: u32 = 4;
 
+/// Part of the longest useful wait for a slot that a request may wait while no backend server can be
+/// reached. A node takes 0.5 to 1 s to start anew; callers wait an eighth of their latency target,
+/// calls of work that has begun longer, because the work would be lost.
+const OUT_SHARE: f64 = 0.4;
+/// Pause before the nodes of a service are tried again.
+const OUT_PAUSE_MS: u64 = 60;
+
 /// Sends a request to backend servers of its route until one answers or the rules end it.
 ///
 /// `parent` is the class of the request for which it is made, if it is a call.
@@ -76,11 +83,16 @@
     sent: &mut Sent,
 ) -> Reply {
     let mut tries = Tries::default();
+    let until = Instant::now() + order.patience.mul_f64(OUT_SHARE);
     loop {
         let Some(pick) = mesh
             .router
             .pick(&sent.service, order.priority(), &tries.names)
         else {
+            if tries.may_wait(order, until) {
+                sleep(Duration::from_millis(OUT_PAUSE_MS)).await;
+                continue;
+            }
             return tries.give_up(mesh);
         };
         let name = pick.upstream().name.clone();
@@ -96,6 +108,8 @@
         tries.names.insert(name);
         match tries.next(mesh, route, &sent.service, order, reply) {
             Next::Answer(reply) => return *reply,
+            Next::Later(reply) if !tries.may_wait(order, until) => return *reply,
+            Next::Later(_) => sleep(Duration::from_millis(OUT_PAUSE_MS)).await,
             Next::Again => {
                 if let Some(reply) = &tries.last {
                     trace::again(mesh, order, &sent.last, reply);
@@ -107,7 +121,10 @@
 
 enum Next {
     Answer(Box<Reply>),
+    /// Another backend server may be asked at once.
     Again,
+    /// No backend server could be reached; one may be back in a moment.
+    Later(Box<Reply>),
 }
 
 /// What has become of a request so far.
@@ -152,13 +169,31 @@
                 false => self.is_worth_asking(&reply),
             };
         if !again {
-            return Next::Answer(Box::new(self.proven(reply)));
+            let reply = Box::new(self.proven(reply));
+            return match reply.unanswered || is_out(&reply) {
+                true => Next::Later(reply),
+                false => Next::Answer(reply),
+            };
         }
         mesh.counters.add(Counter::RetriesSent, 1);
         self.last = Some(reply);
         Next::Again
     }
 
+    /// Whether the request may wait for a node that is starting anew; then all are asked again.
+    fn may_wait(&mut self, order: &Order, until: Instant) -> bool {
+        let is_out = |reply: &Reply| reply.unanswered || is_out(reply);
+        let pause = Duration::from_millis(OUT_PAUSE_MS);
+        let waits = self.last.as_ref().is_none_or(is_out)
+            && Instant::now() + pause < until
+            && order.left() > pause;
+        if waits {
+            self.names.clear();
+            self.unreached = 0;
+        }
+        waits
+    }
+
     /// Whether another node may take a request that one has refused.
     fn is_worth_asking(&mut self, reply: &Reply) -> bool {
         if reply.unanswered || is_out(reply) {
@@ -335,4 +370,6 @@
     if let Some(load) = load {
         mesh.router.learn_load(name, load, level);
     }
+    let retiring = headers.contains_key(header::RETIRING);
+    mesh.router.learn_retiring(name, retiring);
 }
--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -80,6 +80,9 @@
         write(headers, header::LOAD, &self.0.gate.load());
         write(headers, header::LEVELS, &self.0.levels(class));
         self.0.write_progress(headers);
+        if self.0.leaving.get() {
+            write(headers, header::RETIRING, &1);
+        }
         provable(response)
     }
 }
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -42,6 +42,11 @@
 /// Part of the grace period after which requests still in progress are cancelled; the rest is for
 /// the end of the process on a busy instance.
 const CANCEL_SHARE: f64 = 0.85;
+/// Part of the grace period in which other nodes are still served; a quarter of it is left for
+/// their last requests.
+const ADMIT_SHARE: f64 = 0.6;
+/// Interval of the checks whether the backend server is idle.
+const IDLE_CHECK_MS: u64 = 20;
 /// Time for which calls may wait at a server that has begun to drain.
 const DRAINING_WAIT_MS: u64 = 700;
 
@@ -70,25 +75,24 @@
     background.spawn(tick(mesh.clone(), end.clone()));
     background.spawn(probe(mesh.clone(), end.clone()));
 
-    let (calls, asked) = (Stop::default(), Stop::default());
-    let serving = Tasks::default();
+    let (callers, peers, asked) = (Served::default(), Served::default(), Stop::default());
     let (version, most) = (Version::Http1, OUTBOUND_CONNECTIONS);
     spawn(
-        &serving,
+        &callers.tasks,
         outbound,
         version,
         most,
         Outbound(mesh.clone()),
-        &calls,
+        &callers.stop,
     );
     let (version, most) = (Version::Http2, INBOUND_CONNECTIONS);
     spawn(
-        &serving,
+        &peers.tasks,
         inbound,
         version,
         most,
         Inbound(mesh.clone()),
-        &calls,
+        &peers.stop,
     );
     let (version, most) = (Version::Http1, READY_CONNECTIONS);
     let listening = Tasks::default();
@@ -114,7 +118,7 @@
     }
 
     stop.cancelled().await;
-    leave(&mesh, &serving, &calls).await;
+    leave(&mesh, &callers, &peers).await;
     asked.refuse.cancel();
     asked.abort.cancel();
     listening.join().await;
@@ -125,17 +129,52 @@
     Ok(())
 }
 
-/// Stops without cutting requests: callers are sent elsewhere first, then connections are closed
-/// after the requests in progress on them.
-async fn leave<N: Net, D>(mesh: &Mesh<N, D>, serving: &Tasks, calls: &Stop) {
-    let last = Instant::now() + mesh.settings.promises.grace.mul_f64(CANCEL_SHARE);
+/// The connections of one listener.
+#[derive(Default)]
+struct Served {
+    tasks: Tasks,
+    stop: Stop,
+}
+
+impl Served {
+    /// Takes no new connections, ends the open ones after their requests, and cancels what is left
+    /// at `last`.
+    async fn end(&self, last: Instant) {
+        self.stop.refuse.cancel();
+        if timeout_at(last, self.tasks.join()).await.is_err() {
+            self.stop.abort.cancel();
+            self.tasks.join().await;
+        }
+    }
+}
+
+/// Stops without cutting requests.
+///
+/// Callers are sent elsewhere first. Other nodes avoid this one as soon as an answer tells them, but
+/// no other node can reach the backend server, so they are served as long as they need it. Callers'
+/// connections end last, because the backend server's own calls come in there too.
+async fn leave<N: Net, D>(mesh: &Mesh<N, D>, callers: &Served, peers: &Served) {
+    let (started, grace) = (Instant::now(), mesh.settings.promises.grace);
+    let last = started + grace.mul_f64(CANCEL_SHARE);
     mesh.leaving.set(true);
     sleep(Duration::from_millis(NOTICE_MS)).await;
+    mesh.closing.set(true);
+    idle(mesh, started + grace.mul_f64(ADMIT_SHARE)).await;
     mesh.gate.set_state(GateState::Leaving);
-    calls.refuse.cancel();
-    if timeout_at(last, serving.join()).await.is_err() {
-        calls.abort.cancel();
-        serving.join().await;
+    peers.end(last).await;
+    idle(mesh, last).await;
+    callers.end(last).await;
+}
+
+/// Waits until no request is at the backend server or waits for it, at most until `last`.
+async fn idle<N: Net, D>(mesh: &Mesh<N, D>, last: Instant) {
+    loop {
+        let load = mesh.gate.load();
+        let now = Instant::now();
+        if load.in_flight + load.queued == 0 || now >= last {
+            return;
+        }
+        sleep(Duration::from_millis(IDLE_CHECK_MS).min(last - now)).await;
     }
 }
 
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -83,7 +83,12 @@
         mesh.counters.add(outcome_counter(reply.outcome), 1);
         let left = left.saturating_sub(arrived.elapsed());
         let jitter = 0.7 + 0.3 * mesh.rng.borrow_mut().f64();
-        to_caller(reply, left.mul_f64(RETURN_SHARE * jitter))
+        let mut response = to_caller(reply, left.mul_f64(RETURN_SHARE * jitter));
+        if mesh.closing.get() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
     }
 }
 
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -100,6 +100,8 @@
     pub told: Notify,
     /// Whether the node is about to stop.
     pub leaving: Cell<bool>,
+    /// Whether callers' connections are closed after the next answer.
+    pub closing: Cell<bool>,
     /// Counters and gauges.
     pub counters: Rc<Counters>,
     /// Latencies.
@@ -148,6 +150,7 @@
             progress: RefCell::default(),
             told: Notify::new(),
             leaving: Cell::new(false),
+            closing: Cell::new(false),
             counters,
             latency: Latency::default(),
             buffered: Rc::default(),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -338,7 +338,10 @@
         let sum: Duration = holds.iter().sum();
         let mean = sum / nodes as u32;
         let reads = nodes as f64 / mean.as_secs_f64();
-        // 6,000 reads a second are the store's rate at 68 nodes; a thousandth of it at 13.
-        assert!(reads <= 6.0 || mean > ms(14_000), "{reads} a second at {nodes} nodes");
+
+        assert!(
+            reads <= 6.0 || mean > ms(14_000),
+            "{reads} a second at {nodes} nodes"
+        );
     }
 }
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -247,8 +247,7 @@
 
     pub fn remove_entry(&self, name: &str) {
         let id = self.pairs[name].entry.id.clone();
-        self.shelf
-            .put(|revision| Item::Removed { id, revision });
+        self.shelf.put(|revision| Item::Removed { id, revision });
     }
 
     fn join(&mut self, service: &str, index: u8, n: u8, slots: u32) {
