--- a/src/state/upstream/table/tests.rs
+++ b/src/state/upstream/table/tests.rs
@@ -412,3 +412,35 @@
         "they are tried again: {all:?}"
     );
 }
+
+/// Guards against new work for a node that is about to stop while others can take it, and against
+/// refusals where it is the last one.
+///
+/// Load: the nodes of a service stop one after the other, all but one of them at the same time.
+#[test]
+fn retiring_upstream_is_used_only_without_others() {
+    let Driver { mut table, now, .. } = Driver::new(&[0, 0, 0]);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let priority = Priority::new(0, false, RootId([0; 16]));
+    let mut pick = |table: &mut UpstreamTable, tried: &[&str], now| {
+        let tried = tried.iter().map(|n| n.parse().unwrap()).collect();
+        let picked = table.pick(priority, &tried, &mut rng, now);
+        picked.map(|u| u.name.to_string())
+    };
+    for name in ["u-0", "u-1"] {
+        table.learn_retiring(&name.parse().unwrap(), true, now);
+    }
+    for _ in 0..50 {
+        assert_eq!(pick(&mut table, &[], now).unwrap(), "u-2");
+    }
+    assert!(
+        pick(&mut table, &["u-2"], now).is_some(),
+        "the last ones still serve"
+    );
+    let later = now + Duration::from_secs(1);
+    let all: BTreeSet<_> = (0..50)
+        .filter_map(|_| pick(&mut table, &[], later))
+        .collect();
+    let is_back = all.contains("u-0") && all.contains("u-1");
+    assert!(is_back, "{all:?}");
+}
