--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -11,7 +11,7 @@
     level::{LevelMeter, QueueWindow},
     limit::{End, Limiter},
     object::{Control, Favour},
-    priority::{Level, Priority},
+    priority::Level,
     queue::{Place, Pushed, WaitQueue},
     suspect::SuspectNews,
     upstream::Load,
@@ -390,40 +390,6 @@
         self.next
     }
 
-    fn refusal(&mut self, why: Why, priority: Priority) -> Refusal {
-        let base = self.meter.retry_after(priority);
-        Refusal {
-            why,
-            retry_after: base.mul_f64(0.5 + self.rng.f64()),
-        }
-    }
-
-    fn refuse_one(&mut self, waiter: Waiter, why: Why, now: Instant) -> (Reply, Refusal) {
-        #[cfg(test)]
-        self.evictions.insert(waiter.ask.fingerprint, self.next);
-        self.note_wait(&waiter, now);
-        self.classes.release(&waiter.ask.class);
-        let is_overload = matches!(why, Why::Evicted | Why::Waited | Why::Deadline);
-        self.window.important_refused |= is_overload && waiter.ask.important;
-        (waiter.reply, self.refusal(why, waiter.ask.priority))
-    }
-
-    fn refuse(&mut self, waiter: Waiter, why: Why, now: Instant) -> (Reply, Result<u64, Refusal>) {
-        let (reply, refusal) = self.refuse_one(waiter, why, now);
-        (reply, Err(refusal))
-    }
-
-    fn refuse_all(&mut self, waiting: Vec<Waiter>, why: Why, now: Instant) -> Refused {
-        let refused = waiting.into_iter().map(|w| self.refuse_one(w, why, now));
-        refused.collect()
-    }
-
-    fn drain(&mut self, why: Why, now: Instant) -> Refused {
-        let mut waiting = self.queue.extract(|_| true);
-        waiting.extend(self.isolated.extract(|_| true));
-        self.refuse_all(waiting, why, now)
-    }
-
     fn expected(&self, ask: &Ask, now: Instant) -> Duration {
         match self.control {
             Control::Adaptive | Control::Ranked => self.classes.expected(&ask.class, now),
@@ -501,3 +467,4 @@
 
 #[cfg(test)]
 mod hooks;
+mod refuse;
