Log what a node under pressure did in the last second

The logs show refusals and levels, but not what a node and its server got done, nor whether the node's own processor is short; so the hypotheses of docs/incidents/deepest-service-overload.md can't be told apart. Change: one line a second while calls wait at the gate or periodic work is 20 ms late or more.

--- a/src/state/histogram.rs
+++ b/src/state/histogram.rs
@@ -37,6 +37,11 @@
         self.buckets.iter().map(Cell::get).sum()
     }
 
+    /// Sum of all recorded latencies, to the microsecond.
+    pub fn sum(&self) -> Duration {
+        Duration::from_micros(self.sum_us.get())
+    }
+
     /// Renders the histogram as lines of text. The count of a bucket includes all lower buckets.
     pub fn render(&self, name: &str) -> String {
         let mut text = String::new();
--- a/src/transport/mesh/metrics.rs
+++ b/src/transport/mesh/metrics.rs
@@ -60,6 +60,16 @@
         self.ran.record(time);
     }
 
+    /// Number and sum of the times that requests waited for admission.
+    pub fn waited(&self) -> (u64, Duration) {
+        (self.waited.count(), self.waited.sum())
+    }
+
+    /// Number and sum of the times that the backend server took to respond.
+    pub fn ran(&self) -> (u64, Duration) {
+        (self.ran.count(), self.ran.sum())
+    }
+
     fn render(&self) -> String {
         let histograms = [
             ("answer_complete", &self.complete),
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -11,6 +11,7 @@
 mod metrics;
 pub mod node;
 mod outbound;
+mod pressure;
 mod ready;
 mod server;
 mod shared;
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -27,6 +27,7 @@
     inbound::Inbound,
     metrics::Metrics,
     outbound::Outbound,
+    pressure::PressureLog,
     ready::Ready,
     shared::Mesh,
 };
@@ -195,12 +196,13 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut draining_since = None;
     let mut levels = LevelLog::default();
+    let mut pressure = PressureLog::default();
     loop {
-        tokio::select! {
+        let due = tokio::select! {
             biased;
             () = stop.cancelled() => return,
-            _ = ticks.tick() => {}
-        }
+            due = ticks.tick() => due,
+        };
         let now = Instant::now();
         let expired = mesh.registry.borrow_mut().expire(now);
         for record in &expired {
@@ -219,6 +221,7 @@
         mesh.end_cooldowns(now);
         mesh.gate.tick();
         levels.log_changes(&mesh, now);
+        pressure.observe(&mesh, now.saturating_duration_since(due), now);
         mesh.pool.prune();
         update_gauges(&mesh);
     }
