Log the rate limit and the leaving that a backend server announces

Change: the node beside the server reads both headers from the answers, logs each change with the requests sent so far, has gauges for them, and writes its line about pressure while a limit is announced. No decision depends on them yet.

--- a/src/protocol/directory.rs
+++ b/src/protocol/directory.rs
@@ -27,6 +27,10 @@
     pub load: HeaderName,
     /// Present when the backend server did not run the request.
     pub not_run: HeaderName,
+    /// Requests per second that the backend server accepts, while it is in need.
+    pub rate_limit: HeaderName,
+    /// Present when the backend server leaves.
+    pub leaving: HeaderName,
     /// Service of the instance where the request originated.
     pub origin_service: HeaderName,
     /// Separates the id of a request from the suffix in the ids of the calls made for it.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -17,6 +17,7 @@
 pub mod priority;
 pub mod publication;
 pub mod queue;
+pub mod rate;
 pub mod settings;
 pub mod store;
 pub mod suspect;
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -4,6 +4,7 @@
 //! backend server and sends the request to the node beside it, which admits the request and
 //! forwards it to the backend server.
 
+mod announce;
 mod attempt;
 mod context;
 mod follow;
--- a/src/transport/mesh/pressure.rs
+++ b/src/transport/mesh/pressure.rs
@@ -34,7 +34,8 @@
     ran: (u64, Duration),
 }
 
-/// Logs the load of a node once a second while calls wait at its gate or its processor is busy.
+/// Logs the load of a node once a second while calls wait at its gate, its backend server announces
+/// a rate limit or its processor is busy.
 #[derive(Debug, Default)]
 pub struct PressureLog {
     last: Option<Reading>,
@@ -55,7 +56,8 @@
             return;
         }
         let current = read(mesh, now);
-        if self.max_queued > 0 || self.max_lag >= LAG_BUSY {
+        let is_limited = mesh.server_limit.borrow().get().is_some();
+        if self.max_queued > 0 || self.max_lag >= LAG_BUSY || is_limited {
             self.log(mesh, last, &current);
         }
         *self = Self {
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -212,6 +212,9 @@
         if let Some(invalid_reason) = self.invalid_reason(&head) {
             return self.fail(lease, invalid_reason);
         }
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.mesh.record_announcements(&head.headers, self.sent);
+        }
         // A response without a length ends with the connection. The HTTP library reports a reset of
         // that connection as an error, so truncation is detected.
         let framing = server_framing(&self.context.request.method, &head);
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -147,6 +147,8 @@
         expected_instance: name("x-expected"),
         load: name("x-load"),
         not_run: name("x-not-run"),
+        rate_limit: name("x-rate-limit"),
+        leaving: name("x-leaving"),
         origin_service: name("x-origin"),
         call_separator: '.',
     }
