--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -316,6 +316,25 @@
         self.pairs.insert(name, pair);
     }
 
+    /// Restarts a node: crashes it, or stops it and waits for its end. Its backend server goes on.
+    pub async fn restart(&mut self, name: &str, crashes: bool) {
+        let pair = self.pairs.get_mut(name).unwrap();
+        match crashes {
+            true => pair.node.crash(),
+            false => pair.stop.cancel(),
+        }
+        pair.task.take().unwrap().await.unwrap();
+        let settings = pair.mesh.settings.clone();
+        pair.node = Process::default();
+        let net = self.network.net(settings.inbound.ip(), pair.node.clone());
+        let mesh = Mesh::new(net, settings, names(), TestDirectory(self.store.clone()));
+        pair.mesh = Rc::new(mesh);
+        pair.stop = CancellationToken::new();
+        let (run, token) = (pair.mesh.clone(), pair.stop.clone());
+        let main = async move { node::run(run, token).await.unwrap() };
+        pair.task = Some(tokio::task::spawn_local(Host::new(pair.node.clone(), main)));
+    }
+
     /// Sends a request to a node's outbound listener from its own address.
     pub async fn post(
         &self,
