Keep the rate limit that a backend server announces

Cause: nothing read the announcement; the gate admitted by slots alone. The class of fault: a limit that only the server knows, and that no node enforces for all nodes together. Change: the gate of the node beside the server, the only way to it, sends queued requests at the announced rate (token bucket) and refuses at once those that would wait too long for it. Its reported load shrinks with the rate, and nodes draw upstreams in proportion to what they can take; even draws of two rarely met the one server with room. A node that has restarted adopts the limit from the requests of other nodes. A late answer without the header does not end a limit.

--- a/src/commands/sink.rs
+++ b/src/commands/sink.rs
@@ -11,6 +11,8 @@
     time::{Duration, Instant},
 };
 
+use crate::state::rate::TokenBucket;
+
 /// Capacity of the queue, and largest number of lines in one write.
 const QUEUE_MAX_LINES: usize = 4_096;
 /// Time for which lines are collected into one write, to limit the wake-ups of the process.
@@ -22,26 +24,6 @@
 /// Lines that the rate limit lets through at once.
 const BURST_LINES: f64 = 1_000.0;
 
-/// Token bucket that limits the rate of lines.
-#[derive(Debug)]
-struct TokenBucket {
-    tokens: f64,
-    refilled: Instant,
-}
-
-impl TokenBucket {
-    fn try_take(&mut self, now: Instant) -> bool {
-        let elapsed_s = now.saturating_duration_since(self.refilled).as_secs_f64();
-        self.refilled = now;
-        self.tokens = (self.tokens + elapsed_s * RATE_LINES_PER_S).min(BURST_LINES);
-        let is_allowed = self.tokens >= 1.0;
-        if is_allowed {
-            self.tokens -= 1.0;
-        }
-        is_allowed
-    }
-}
-
 /// Queues lines and writes them on a separate thread.
 ///
 /// When the queue is full or the rate limit is reached, lines are dropped and counted; the number
@@ -64,14 +46,17 @@
         let (sender, receiver) = sync_channel(QUEUE_MAX_LINES);
         let dropped: Arc<AtomicU64> = Arc::default();
         let counter = dropped.clone();
+        let bucket = TokenBucket::new(
+            RATE_LINES_PER_S,
+            BURST_LINES,
+            BURST_LINES,
+            Instant::now().into(),
+        );
         let writer = thread::spawn(move || write(&receiver, output, &counter, report));
         Self(Arc::new(Shared {
             sender: Mutex::new(Some(sender)),
             writer: Mutex::new(Some(writer)),
-            bucket: Mutex::new(TokenBucket {
-                tokens: BURST_LINES,
-                refilled: Instant::now(),
-            }),
+            bucket: Mutex::new(bucket),
             dropped,
         }))
     }
@@ -88,7 +73,7 @@
     /// ```
     pub fn try_write(&self, line: String, is_exempt: bool) {
         let shared = &self.0;
-        let take = |bucket: &mut TokenBucket| bucket.try_take(Instant::now());
+        let take = |bucket: &mut TokenBucket| bucket.try_take(Instant::now().into());
         let allowed = is_exempt || shared.bucket.lock().is_ok_and(|mut b| take(&mut b));
         let sender = shared.sender.lock();
         let queued =
--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -8,7 +8,10 @@
 use std::{cell::RefCell, fmt, rc::Rc, time::Duration};
 
 use thiserror::Error;
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, timeout_at},
+};
 
 use self::core::{ArrivalOutcome, Core, Refusals};
 use crate::state::{
@@ -18,6 +21,7 @@
     object::{Control, Favour},
     priority::{Level, Priority},
     queue::QueueKey,
+    rate::RateLimit,
     suspect::SuspectReport,
     upstream::Load,
 };
@@ -60,6 +64,8 @@
     Waking,
     /// The request has crashed backend servers, so earlier attempts have run.
     Convicted,
+    /// The rate limit that the server announces would delay it for longer than it may wait.
+    RateLimit,
     /// Its class has reached the number of calls in flight that a `Limit` object allows.
     ClassLimit,
     /// No configuration is in effect yet.
@@ -79,6 +85,7 @@
             Self::Leaving => "leaving",
             Self::Waking => "waking",
             Self::Convicted => "convicted",
+            Self::RateLimit => "rate-limit",
             Self::ClassLimit => "class-limit",
             Self::NoConfig => "no-config",
             Self::Down => "down",
@@ -119,6 +126,8 @@
 #[derive(Debug, Clone)]
 pub struct Gate {
     core: Rc<RefCell<Core>>,
+    /// Notified when a queued call waits for the rate limit.
+    delayed: Rc<Notify>,
 }
 
 impl Gate {
@@ -128,6 +137,7 @@
         let core = Core::new(slots, favour, control, rng, Instant::now());
         Self {
             core: Rc::new(RefCell::new(core)),
+            delayed: Rc::default(),
         }
     }
 
@@ -191,6 +201,7 @@
             ArrivalOutcome::Refused(refusal) => return Err(refusal),
             ArrivalOutcome::Queued(key, wait_until, receiver) => (key, wait_until, receiver),
         };
+        self.wake_pacer(Instant::now());
         let _guard = QueueGuard { gate: self, key };
         match timeout_at(wait_until, receiver).await {
             Ok(Ok(answer)) => answer,
@@ -244,6 +255,38 @@
         self.dispatch();
     }
 
+    /// Records the rate limit that an answer of the server announces, received now to a request sent
+    /// at `sent`. Returns whether the limit has changed.
+    pub fn record_rate_limit(&self, limit: Option<RateLimit>, sent: Instant) -> bool {
+        let now = Instant::now();
+        let mut core = self.core.borrow_mut();
+        core.rate_limiter().record(limit, sent, now)
+    }
+
+    /// Adopts the rate limit that another node has received from the server, until this node
+    /// receives an answer of it. Returns whether the limit has changed.
+    pub fn adopt_rate_limit(&self, limit: RateLimit) -> bool {
+        let now = Instant::now();
+        self.core.borrow_mut().rate_limiter().adopt(limit, now)
+    }
+
+    /// The rate limit that the server announces, if any.
+    pub fn rate_limit(&self) -> Option<RateLimit> {
+        self.core.borrow().rate_limit()
+    }
+
+    /// Dispatches queued calls when the rate limit has room for them. Runs until it is dropped.
+    pub async fn pace(&self) {
+        loop {
+            let next = self.core.borrow().next_release(Instant::now());
+            match next {
+                Some(wait) => sleep(wait).await,
+                None => self.delayed.notified().await,
+            }
+            self.dispatch();
+        }
+    }
+
     /// Suspects and convictions known to this node, for propagation to other nodes.
     pub fn suspects(&self) -> SuspectReport {
         self.core.borrow().suspects(Instant::now())
@@ -256,6 +299,12 @@
             .update_suspects(report, Instant::now());
     }
 
+    fn wake_pacer(&self, now: Instant) {
+        if self.core.borrow().next_release(now).is_some() {
+            self.delayed.notify_one();
+        }
+    }
+
     fn permit(&self, id: u64) -> Permit {
         Permit {
             gate: self.clone(),
@@ -275,6 +324,7 @@
         loop {
             let next = self.core.borrow_mut().next_decision(now);
             let Some((reply, decision)) = next else {
+                self.wake_pacer(now);
                 return;
             };
             let _ = reply.send(decision.map(|id| self.permit(id)));
--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -14,10 +14,9 @@
     level::{LevelController, QueueStats},
     limit::{CallEnd, Limiter},
     object::{Control, Favour},
-    priority::Level,
     queue::{PushResult, QueueKey, WaitQueue},
+    rate::RateLimiter,
     suspect::SuspectReport,
-    upstream::Load,
 };
 
 pub(super) type AdmissionResult = Result<Permit, Refusal>;
@@ -61,6 +60,9 @@
     down: bool,
     slots: u32,
     limiter: Limiter,
+    rate: RateLimiter,
+    /// Smoothed duration of the calls, in seconds, once one has been answered.
+    duration_s: Option<f64>,
     controller: LevelController,
     window: QueueStats,
     overloaded: bool,
@@ -91,6 +93,8 @@
             down: false,
             slots,
             limiter: Limiter::new(slots, now),
+            rate: RateLimiter::default(),
+            duration_s: None,
             controller: LevelController::new(),
             window: QueueStats::default(),
             overloaded: false,
@@ -141,7 +145,8 @@
         }
         let suspect = self.is_suspect(&request, now);
         // A suspect that must wait for another suspect does not delay other calls.
-        if self.queue.is_empty() && self.has_room() && !(suspect && self.isolation.is_busy(now)) {
+        if self.queue.is_empty() && self.has_room(now) && !(suspect && self.isolation.is_busy(now))
+        {
             self.window.immediate += 1;
             return ArrivalOutcome::Admitted(self.admit(&request, suspect, now));
         }
@@ -150,7 +155,7 @@
 
     /// Decides on the next queued call; `None` if the limit has no room or no call can be decided.
     pub(super) fn next_decision(&mut self, now: Instant) -> Option<(Reply, Result<u64, Refusal>)> {
-        while self.has_room() && !self.down {
+        while self.has_room(now) && !self.down {
             let Some((key, call)) = self.pop(now) else {
                 break;
             };
@@ -226,6 +231,7 @@
         match end {
             CallEnd::Answered => {
                 self.controller.record_completion();
+                self.record_duration(duration);
                 self.classes.record_duration(&running.class, duration, now);
                 self.isolation.record_completion(running.fingerprint, now);
             }
@@ -263,21 +269,6 @@
         self.refuse_calls(late, RefusalReason::QueueTimeout, now)
     }
 
-    pub(super) fn load(&self) -> Load {
-        Load {
-            in_flight: self.in_flight(),
-            limit: self.limit(),
-            queued: self.queued() as u32,
-        }
-    }
-
-    pub(super) fn level(&self) -> Level {
-        match self.control {
-            Control::Adaptive | Control::Ranked => self.controller.level(),
-            Control::Fixed | Control::Off => Level::OPEN,
-        }
-    }
-
     pub(super) fn set_state(&mut self, state: GateState, now: Instant) -> Refusals {
         self.state = state;
         if state != GateState::Waking {
@@ -358,6 +349,11 @@
         let latest_start = request.deadline - self.expected_duration(&request, now);
         let wait_until = latest_start.min(now + self.max_wait(&request));
         let (important, priority) = (request.important, request.priority);
+        if now + self.rate_wait(&key, now) > wait_until {
+            self.window.important_refused |= important;
+            self.window.late = true;
+            return ArrivalOutcome::Refused(self.refusal(RefusalReason::RateLimit, priority));
+        }
         let (reply, receiver) = oneshot::channel();
         self.classes.acquire(&request.class);
         let call = QueuedCall {
@@ -404,6 +400,7 @@
 
     fn admit(&mut self, request: &AdmissionRequest, suspect: bool, now: Instant) -> u64 {
         self.last_id += 1;
+        self.rate.try_take(now);
         self.classes.acquire(&request.class);
         let running = RunningCall {
             class: request.class.clone(),
@@ -469,26 +466,6 @@
     fn is_suspect(&self, request: &AdmissionRequest, now: Instant) -> bool {
         self.control != Control::Off && self.isolation.is_suspect(&request.fingerprint, now)
     }
-
-    fn has_room(&self) -> bool {
-        self.in_flight() < self.limit()
-    }
-
-    fn in_flight(&self) -> u32 {
-        self.running.len() as u32
-    }
-
-    fn queued(&self) -> usize {
-        self.queue.len() + self.suspect_queue.len()
-    }
-
-    fn limit(&self) -> u32 {
-        match self.control {
-            Control::Adaptive => self.limiter.limit(),
-            Control::Ranked | Control::Fixed => self.slots,
-            Control::Off => u32::MAX,
-        }
-    }
 }
 
 fn queue_capacity(slots: u32) -> usize {
@@ -497,4 +474,5 @@
 
 #[cfg(test)]
 mod hooks;
+mod limits;
 mod refuse;
--- a/src/coordination/gate/core/hooks.rs
+++ b/src/coordination/gate/core/hooks.rs
@@ -1,7 +1,7 @@
 //! Access to the gate's state for tests.
 
 use super::*;
-use crate::state::object::Limit;
+use crate::state::{object::Limit, priority::Level};
 
 impl Core {
     pub(in super::super) fn counter(&self) -> u64 {
--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -16,6 +16,7 @@
     level::{Levels, ReportedLevel},
     object::{Control, Upstream},
     priority::{Level, Priority},
+    rate::RateLimit,
     upstream::{Load, UpstreamStatus, UpstreamTable},
 };
 
@@ -212,6 +213,20 @@
         }
     }
 
+    /// Records the rate limit that an upstream announces, if any.
+    pub fn set_rate_limit(&self, upstream: &UpstreamName, limit: Option<RateLimit>) {
+        if let Some(service) = self.inner.borrow_mut().service_of(upstream) {
+            service.table.set_rate_limit(upstream, limit);
+        }
+    }
+
+    /// The rate limit that an upstream announces, as far as this node knows.
+    pub fn rate_limit(&self, upstream: &UpstreamName) -> Option<RateLimit> {
+        let inner = self.inner.borrow();
+        let service = inner.services.get(inner.service_index.get(upstream)?)?;
+        service.table.rate_limit(upstream)
+    }
+
     /// The upstreams to which a connection recently could not be opened.
     pub fn unreachable(&self) -> Vec<Rc<Upstream>> {
         let now = Instant::now();
--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -36,6 +36,8 @@
 pub const ORIGIN: &str = "cb-origin";
 /// Id of the only backend server that may run the request.
 pub const INSTANCE: &str = "cb-instance";
+/// Rate limit that the backend server announced to the sending node, in requests per second.
+pub const RATE_LIMIT: &str = "cb-rate-limit";
 /// Revision of the latest item that a node has read from the platform's store.
 pub const REVISION: &str = "cb-revision";
 /// Longest useful wait in the queue, in ms.
--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -76,6 +76,7 @@
     RefusedLeaving "refused.leaving" "calls" Total "Refused because the node is leaving.",
     RefusedWaking "refused.waking" "calls" Total "Refused because the node is waking after a pause.",
     RefusedConvicted "refused.convicted" "calls" Total "Refused because the request crashes servers.",
+    RefusedRate "refused.rate" "calls" Total "Refused because the rate limit that the backend server announces would delay them for too long.",
     RefusedClassLimit "refused.class-limit" "calls" Total "Refused by a limit object.",
     RefusedNoConfig "refused.no-config" "calls" Total "Refused because no configuration is in effect.",
     RefusedDown "refused.down" "calls" Total "Refused because the backend server is down.",
--- a/src/state/queue.rs
+++ b/src/state/queue.rs
@@ -112,6 +112,11 @@
         self.entries.last_key_value().map(|(key, _)| *key)
     }
 
+    /// Number of waiting requests that are served before one with this key.
+    pub fn rank(&self, key: &QueueKey) -> usize {
+        self.entries.range(..key).count()
+    }
+
     /// Removes the request that is served next.
     pub fn pop(&mut self) -> Option<(QueueKey, T)> {
         self.entries.pop_first()
--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -9,6 +9,7 @@
         level::{is_recent, relaxed},
         object::Upstream,
         priority::{Level, Priority},
+        rate::RateLimit,
     },
     AttemptEnd, Load, Standing, UpstreamStatus,
 };
@@ -56,6 +57,8 @@
     pub(super) is_removed: bool,
     /// Whether it is in the zone of this node.
     pub(super) is_local: bool,
+    /// Rate limit that it announced in its last answer to this node.
+    pub(super) rate_limit: Option<RateLimit>,
     /// Calls of this node in flight.
     in_flight: u32,
     /// Smoothed latency in seconds.
@@ -86,6 +89,7 @@
             listing: Listing::Unknown,
             is_removed: false,
             is_local,
+            rate_limit: None,
             in_flight: 0,
             latency: None,
             success: 1.0,
@@ -232,14 +236,19 @@
         own.max(reported) + f64::from(load.queued).min(slots * QUEUED_PER_SLOT)
     }
 
+    /// Number of calls that it can run at once: its slots, or the limit that it reports if that is
+    /// lower.
+    pub(super) fn capacity(&self, now: Instant) -> f64 {
+        let slots = f64::from(self.upstream.slots);
+        match self.fresh_report(now) {
+            Some((load, ..)) => f64::from(load.limit).clamp(slots.min(1.0), slots),
+            None => slots,
+        }
+    }
+
     /// Share of the calls that it should get, in slots. `best_latency` is the lowest latency among
     /// the active upstreams.
     pub(super) fn weight(&self, best_latency: f64, now: Instant) -> f64 {
-        let slots = f64::from(self.upstream.slots);
-        let limit = self
-            .fresh_report(now)
-            .map(|(load, ..)| f64::from(load.limit));
-        let usable = limit.map_or(slots, |limit| limit.clamp(slots * WEIGHT_MIN, slots));
         let speed = self.latency.map_or(1.0, |l| {
             if l > best_latency {
                 best_latency / l
@@ -247,7 +256,7 @@
                 1.0
             }
         });
-        usable * (self.ramp(now) * self.success * speed).max(WEIGHT_MIN)
+        self.capacity(now) * (self.ramp(now) * self.success * speed).max(WEIGHT_MIN)
     }
 
     /// Its entry in the state dump.
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -9,6 +9,7 @@
         id::{UpstreamName, ZoneName},
         object::Upstream,
         priority::{Level, Priority},
+        rate::RateLimit,
     },
     AttemptEnd, ListEntry, ListedState, Load, UpstreamStatus,
     entry::{Entry, Listing},
@@ -97,6 +98,8 @@
     /// Chooses an upstream that is not in `tried` and counts an attempt at it.
     ///
     /// Compares two random candidates and takes the one with the lower load relative to its weight.
+    /// Candidates are drawn in proportion to their capacity: where most of them accept few calls,
+    /// two that are drawn evenly would rarely include one that has room.
     pub fn pick(
         &mut self,
         priority: Priority,
@@ -122,9 +125,7 @@
             [] => return None,
             [only] => only,
             ref several => {
-                let first = rng.usize(..several.len());
-                let second = (first + rng.usize(1..several.len())) % several.len();
-                let (first, second) = (several[first], several[second]);
+                let (first, second) = self.draw_two(several, rng, now);
                 match self.score(first, best_latency, now) <= self.score(second, best_latency, now)
                 {
                     true => first,
@@ -210,6 +211,19 @@
         }
     }
 
+    /// Records the rate limit that an upstream announces, if any.
+    pub fn set_rate_limit(&mut self, name: &UpstreamName, limit: Option<RateLimit>) {
+        if let Some(entry) = self.get_mut(name) {
+            entry.rate_limit = limit;
+        }
+    }
+
+    /// The rate limit that an upstream announces, if it is known.
+    pub fn rate_limit(&self, name: &UpstreamName) -> Option<RateLimit> {
+        let found = self.entries.binary_search_by(|e| e.upstream.name.cmp(name));
+        self.entries[found.ok()?].rate_limit
+    }
+
     /// The upstreams to which a connection attempt failed recently.
     pub fn unreachable(&self, now: Instant) -> impl Iterator<Item = &Rc<Upstream>> {
         let unreachable = self.entries.iter().filter(move |e| e.is_unreachable(now));
@@ -351,6 +365,37 @@
         self.is_spilling = local > others + SPILL_MARGIN;
     }
 
+    /// Draws two different candidates; there must be at least two.
+    fn draw_two(
+        &self,
+        candidates: &[usize],
+        rng: &mut fastrand::Rng,
+        now: Instant,
+    ) -> (usize, usize) {
+        let capacity = |index: &usize| self.entries[*index].capacity(now);
+        let is_even = candidates
+            .windows(2)
+            .all(|c| capacity(&c[0]) == capacity(&c[1]));
+        if is_even {
+            let first = rng.usize(..candidates.len());
+            let second = (first + rng.usize(1..candidates.len())) % candidates.len();
+            return (candidates[first], candidates[second]);
+        }
+        let mut draw = |without: Option<usize>| {
+            let others = || candidates.iter().filter(|c| Some(**c) != without);
+            let mut left = rng.f64() * others().map(capacity).sum::<f64>();
+            let is_drawn = |c: &&usize| {
+                left -= capacity(c);
+                left < 0.0
+            };
+            // Rounding may leave a rest after the last candidate.
+            let drawn = others().find(is_drawn).or(others().next_back());
+            *drawn.expect("there are at least two candidates")
+        };
+        let first = draw(None);
+        (first, draw(Some(first)))
+    }
+
     /// Load of an upstream relative to its weight, with the call to be placed included.
     fn score(&self, index: usize, best_latency: f64, now: Instant) -> f64 {
         let entry = &self.entries[index];
--- a/src/transport/mesh/announce.rs
+++ b/src/transport/mesh/announce.rs
@@ -5,7 +5,13 @@
 use http::{HeaderMap, HeaderName};
 use tokio::time::Instant;
 
-use crate::state::{counters::Counter, rate::RateLimit};
+use crate::{
+    protocol::{
+        call::{self, write},
+        header,
+    },
+    state::{counters::Counter, id::UpstreamName, rate::RateLimit},
+};
 
 use super::{super::net::Net, shared::Mesh};
 
@@ -20,18 +26,48 @@
         }
     }
 
+    /// Records what the backend server of another node announces in an answer that this node
+    /// received.
+    pub fn record_upstream_announcements(&self, upstream: &UpstreamName, headers: &HeaderMap) {
+        if let Ok(limit) = read(headers, &self.names.rate_limit) {
+            self.router.set_rate_limit(upstream, limit);
+        }
+    }
+
+    /// Writes the rate limit of a backend server for its node, which may have restarted since the
+    /// server announced it.
+    pub fn write_rate_limit(&self, upstream: &UpstreamName, headers: &mut HeaderMap) {
+        if let Some(limit) = self.router.rate_limit(upstream) {
+            write(headers, header::RATE_LIMIT, &limit);
+        }
+    }
+
+    /// Reads the rate limit that another node has received from the backend server of this node.
+    pub fn read_rate_limit(&self, headers: &HeaderMap) {
+        let limit: Option<RateLimit> = call::read(headers, header::RATE_LIMIT).ok().flatten();
+        if let Some(limit) = limit
+            && self.gate.adopt_rate_limit(limit)
+        {
+            self.set_rate_gauge(Some(limit));
+            log::info!(limit:%; "another node reports the rate limit of the backend server");
+        }
+    }
+
+    fn set_rate_gauge(&self, limit: Option<RateLimit>) {
+        let rounded = limit.map_or(0, |l| l.per_second().ceil() as u64);
+        self.counters.set(Counter::ServerRateLimit, rounded);
+    }
+
     fn record_rate_limit(&self, headers: &HeaderMap, sent: Instant) {
         // A value that can't be read neither sets nor ends a limit.
         let Ok(limit) = read::<RateLimit>(headers, &self.names.rate_limit) else {
             self.counters.add(Counter::ServerMalformed, 1);
             return;
         };
-        let mut announced = self.server_limit.borrow_mut();
-        if !announced.record(limit, sent, Instant::now()) {
+        if !self.gate.record_rate_limit(limit, sent) {
             return;
         }
-        let rounded = limit.map_or(0, |l| l.per_second().ceil() as u64);
-        self.counters.set(Counter::ServerRateLimit, rounded);
+        self.set_rate_gauge(limit);
         let sent = self.counters.get(Counter::ServerCalls);
         match limit {
             Some(limit) => log::info!(limit:%, sent; "backend server announces a rate limit"),
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -285,6 +285,7 @@
     };
     context.write(instance, request.headers_mut());
     mesh.write_progress(request.headers_mut());
+    mesh.write_rate_limit(&pick.upstream().name, request.headers_mut());
     match timeout_at(context.deadline, mesh.links.send(to, request)).await {
         Err(_) => finish(pick, Reply::unknown("deadline")),
         Ok(Err(SendError::Unreachable(_))) => {
@@ -331,6 +332,7 @@
     if outcome != Outcome::Complete {
         return finish(pick, incomplete_reply(outcome, &head));
     }
+    mesh.record_upstream_announcements(&pick.upstream().name, &head.headers);
     let framing = peer_framing(&context.request.method, &head);
     match timeout_at(context.deadline, read_buffered(body, framing)).await {
         Err(_) => finish(pick, Reply::unknown("deadline")),
--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -47,6 +47,7 @@
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         mesh.read_progress(&head.headers);
+        mesh.read_rate_limit(&head.headers);
         let metadata = match PeerHeaders::read(&head.headers) {
             Ok(metadata) => metadata,
             Err(error) => {
--- a/src/transport/mesh/metrics.rs
+++ b/src/transport/mesh/metrics.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     protocol::outcome::Outcome,
-    state::{histogram::Histogram, mesh::registry::BackendRecord},
+    state::{histogram::Histogram, mesh::registry::BackendRecord, rate::RateLimit},
 };
 
 use super::{
@@ -136,7 +136,11 @@
             "ready": mesh.is_ready(),
             "leaving": mesh.retiring.get(),
             "routes": routes.as_ref().map(|table| table.revision()),
-            "gate": { "load": mesh.gate.load().to_string(), "level": mesh.gate.level() },
+            "gate": {
+                "load": mesh.gate.load().to_string(),
+                "level": mesh.gate.level(),
+                "rate_limit": mesh.gate.rate_limit().map(RateLimit::per_second),
+            },
             "server": { "connections": mesh.pool.open(), "down": mesh.health.is_down() },
             "links": mesh.links.open_count(),
             "backends": registry.iter().map(|b| backend_json(b, now)).collect::<Vec<_>>(),
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -80,6 +80,7 @@
     background.spawn(health::watch(mesh.clone(), background_stop.clone()));
     background.spawn(tick(mesh.clone(), background_stop.clone()));
     background.spawn(probe(mesh.clone(), background_stop.clone()));
+    background.spawn(pace(mesh.clone(), background_stop.clone()));
 
     let (callers, peers, admin_stop) = (
         ListenerTasks::default(),
@@ -227,6 +228,15 @@
     }
 }
 
+/// Dispatches queued requests at the rate that the backend server accepts.
+async fn pace<N: Net, D: 'static>(mesh: Rc<Mesh<N, D>>, stop: CancellationToken) {
+    tokio::select! {
+        biased;
+        () = stop.cancelled() => {}
+        () = mesh.gate.pace() => {}
+    }
+}
+
 /// Connects to unreachable nodes in the background, so that no request has to wait for an attempt.
 async fn probe<N: Net, D: 'static>(mesh: Rc<Mesh<N, D>>, stop: CancellationToken) {
     let probes = Tasks::default();
--- a/src/transport/mesh/pressure.rs
+++ b/src/transport/mesh/pressure.rs
@@ -56,7 +56,7 @@
             return;
         }
         let current = read(mesh, now);
-        let is_limited = mesh.server_limit.borrow().get().is_some();
+        let is_limited = mesh.gate.rate_limit().is_some();
         if self.max_queued > 0 || self.max_lag >= LAG_BUSY || is_limited {
             self.log(mesh, last, &current);
         }
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -37,7 +37,6 @@
         },
         object::{Control, Favour},
         priority::Priority,
-        rate::AnnouncedLimit,
     },
 };
 
@@ -90,8 +89,6 @@
     pub links: Links<N>,
     /// Crash detection of the backend server.
     pub health: Rc<Health>,
-    /// The rate limit that the backend server announces.
-    pub server_limit: RefCell<AnnouncedLimit>,
     /// Whether the backend server has announced that it leaves.
     pub server_leaving: Cell<bool>,
     /// The known backend servers.
@@ -153,7 +150,6 @@
             pool: Pool::new(net.clone(), settings.server),
             links: Links::new(net.clone(), counters.clone()),
             health: Rc::default(),
-            server_limit: RefCell::default(),
             server_leaving: Cell::new(false),
             registry: RefCell::new(Registry::new(removal_delay)),
             routes: RefCell::default(),
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -24,6 +24,11 @@
 /// Time after an announced leaving from which requests must not reach the server.
 const DRAIN: Duration = Duration::from_secs(2);
 
+/// Time that a request takes at a server.
+const FAST: Duration = Duration::from_millis(100);
+/// The same, so long that a node that has restarted receives no answer for a while.
+const SLOW: Duration = Duration::from_millis(900);
+
 /// Largest number of arrivals that a server with this limit may get in one window.
 fn arrivals_max(per_second: f64) -> usize {
     (1.5 * per_second * WINDOW.as_secs_f64() + 5.0) as usize
@@ -97,9 +102,10 @@
     answers.iter().filter(|s| s.is_success()).count()
 }
 
-/// Servers that take 100 ms and announce what `limit` returns for their name.
+/// Servers that take `time` and announce what `limit` returns for their name.
 fn limited_servers(
     arrivals: &Arrivals,
+    time: Duration,
     limit: impl Fn(&str) -> Option<f64> + 'static,
 ) -> support::Script {
     let (arrivals, limit) = (arrivals.clone(), Rc::new(limit));
@@ -107,7 +113,7 @@
         arrivals.record(&seen.upstream);
         let limit = limit.clone();
         async move {
-            sleep(Duration::from_millis(100)).await;
+            sleep(time).await;
             let value = limit(&seen.upstream).map(|l| l.to_string());
             announcing(&seen, "x-rate-limit", value)
         }
@@ -119,7 +125,7 @@
 async fn server_gets_no_more_requests_than_its_announced_rate() {
     local(async {
         let arrivals = Arrivals::default();
-        let script = limited_servers(&arrivals, |_| Some(10.0));
+        let script = limited_servers(&arrivals, FAST, |_| Some(10.0));
         let services = [("front", 2, 4), ("deep", 1, 50)];
         let fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
         let (fleet, start) = (Rc::new(fleet), Instant::now());
@@ -143,7 +149,7 @@
 async fn announced_rate_holds_across_restarts_of_the_servers_node() {
     local(async {
         let arrivals = Arrivals::default();
-        let script = limited_servers(&arrivals, |_| Some(10.0));
+        let script = limited_servers(&arrivals, SLOW, |_| Some(10.0));
         let services = [("front", 2, 4), ("deep", 1, 50)];
         let mut fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
         let start = Instant::now();
@@ -176,7 +182,7 @@
     local(async {
         let (arrivals, limited) = (Arrivals::default(), Rc::new(Cell::new(true)));
         let flag = limited.clone();
-        let script = limited_servers(&arrivals, move |_| flag.get().then_some(0.0));
+        let script = limited_servers(&arrivals, FAST, move |_| flag.get().then_some(0.0));
         let services = [("front", 1, 4), ("deep", 1, 50)];
         let fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
         let (fleet, start) = (Rc::new(fleet), Instant::now());
@@ -197,7 +203,7 @@
 async fn requests_go_to_the_servers_that_accept_them() {
     local(async {
         let arrivals = Arrivals::default();
-        let script = limited_servers(&arrivals, |name| (name != "deep-0").then_some(8.0));
+        let script = limited_servers(&arrivals, FAST, |name| (name != "deep-0").then_some(8.0));
         let services = [("front", 3, 4), ("deep", 5, 50)];
         let fleet = MeshFleet::with(&services, vec![route("a", "deep")], script).await;
         let (fleet, start) = (Rc::new(fleet), Instant::now());
