Draw upstreams by capacity only where a rate limit is announced

Change: draws are even again, and the floor of a weight is as before, unless a candidate announces a rate limit, which is exact and not an estimate.

--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -240,8 +240,13 @@
     /// lower.
     pub(super) fn capacity(&self, now: Instant) -> f64 {
         let slots = f64::from(self.upstream.slots);
+        // A concurrency limit is an estimate; one that follows from an announced rate is exact.
+        let min = match self.rate_limit {
+            Some(_) => slots.min(1.0),
+            None => slots * WEIGHT_MIN,
+        };
         match self.fresh_report(now) {
-            Some((load, ..)) => f64::from(load.limit).clamp(slots.min(1.0), slots),
+            Some((load, ..)) => f64::from(load.limit).clamp(min, slots),
             None => slots,
         }
     }
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -98,8 +98,8 @@
     /// Chooses an upstream that is not in `tried` and counts an attempt at it.
     ///
     /// Compares two random candidates and takes the one with the lower load relative to its weight.
-    /// Candidates are drawn in proportion to their capacity: where most of them accept few calls,
-    /// two that are drawn evenly would rarely include one that has room.
+    /// If any of them announces a rate limit, candidates are drawn in proportion to their capacity:
+    /// where most accept few calls, two that are drawn evenly rarely include one that has room.
     pub fn pick(
         &mut self,
         priority: Priority,
@@ -373,10 +373,8 @@
         now: Instant,
     ) -> (usize, usize) {
         let capacity = |index: &usize| self.entries[*index].capacity(now);
-        let is_even = candidates
-            .windows(2)
-            .all(|c| capacity(&c[0]) == capacity(&c[1]));
-        if is_even {
+        let is_limited = |index: &usize| self.entries[*index].rate_limit.is_some();
+        if !candidates.iter().any(is_limited) {
             let first = rng.usize(..candidates.len());
             let second = (first + rng.usize(1..candidates.len())) % candidates.len();
             return (candidates[first], candidates[second]);
