Send nothing to a server that has announced in an answer that it leaves

Seen: with the store silent, 95 requests reached a server later than the drain bound after it had announced its leaving in answers that the nodes had passed on (tests/announcements.rs). Cause: the same as for the rate limit: nothing read the announcement. The store's list, which may be silent or older, was the only source. Change: each node remembers the run of the server (id and start) that announced its leaving in an answer that it received, whatever the store lists, until the record of the run is gone and 600 s have passed. The node beside the server refuses new requests as it does for a draining entry.

--- a/src/state/mesh/registry.rs
+++ b/src/state/mesh/registry.rs
@@ -16,6 +16,9 @@
 
 /// Owner of the upstreams that the platform lists.
 const OWNER: &str = "platform";
+/// Time for which a leaving server is remembered after its record was removed. It is longer than
+/// any server takes to exit.
+const LEAVING_TTL: Duration = Duration::from_secs(600);
 
 /// How long a server may be missing from the list before it is removed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +46,13 @@
     pub missing_since: Option<Instant>,
 }
 
+impl BackendRecord {
+    /// Whether the entry is draining or missing.
+    pub fn is_draining(&self) -> bool {
+        self.backend.phase == Phase::Draining || self.missing_since.is_some()
+    }
+}
+
 /// How the record of a server changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -81,6 +91,8 @@
     delay: RemovalDelay,
     outage_end: Option<Instant>,
     names: BTreeMap<UpstreamName, InstanceId>,
+    /// Runs of servers that have announced that they leave, with the time of the last announcement.
+    leaving: BTreeMap<UpstreamName, Instant>,
 }
 
 impl Registry {
@@ -91,6 +103,7 @@
             delay,
             outage_end: None,
             names: BTreeMap::new(),
+            leaving: BTreeMap::new(),
         }
     }
 
@@ -164,6 +177,20 @@
         missing
     }
 
+    /// Records that the server with an upstream name has announced in an answer that it leaves.
+    /// Returns whether this is new.
+    ///
+    /// It gets no more requests, whatever the store lists: a server does not come back from leaving
+    /// within one run.
+    pub fn mark_leaving(&mut self, name: &UpstreamName, now: Instant) -> bool {
+        self.leaving.insert(name.clone(), now).is_none()
+    }
+
+    /// Whether a server has announced in an answer that it leaves.
+    pub fn is_leaving(&self, backend: &Backend) -> bool {
+        !self.leaving.is_empty() && self.leaving.contains_key(&backend.name())
+    }
+
     /// Records that the store answers again after it was unavailable.
     pub fn store_returned(&mut self, now: Instant) {
         self.outage_end = Some(now);
@@ -181,6 +208,8 @@
         if !gone.is_empty() {
             self.names.retain(|_, id| self.records.contains_key(id));
         }
+        self.leaving
+            .retain(|name, at| self.names.contains_key(name) || now < *at + LEAVING_TTL);
         gone
     }
 
@@ -239,6 +268,7 @@
         }
         let usable = |b: &&BackendRecord| {
             b.backend.phase == Phase::Ready
+                && !self.is_leaving(&b.backend)
                 && last.get(&b.backend.address) == Some(&b.first_revision)
         };
         for record in self.records.values().filter(usable) {
--- a/src/transport/mesh/announce.rs
+++ b/src/transport/mesh/announce.rs
@@ -10,19 +10,23 @@
         call::{self, write},
         header,
     },
-    state::{counters::Counter, id::UpstreamName, rate::RateLimit},
+    state::{counters::Counter, id::UpstreamName, mesh::backend::InstanceId, rate::RateLimit},
 };
 
 use super::{super::net::Net, shared::Mesh};
 
 impl<N: Net, D> Mesh<N, D> {
-    /// Records what the backend server beside this node announces in an answer to a request sent at
-    /// `sent`.
-    pub fn record_announcements(&self, headers: &HeaderMap, sent: Instant) {
+    /// Records what the backend server beside this node announces in an answer to a request that was
+    /// sent to `instance` at `sent`.
+    pub fn record_announcements(&self, instance: &InstanceId, headers: &HeaderMap, sent: Instant) {
         self.record_rate_limit(headers, sent);
-        if headers.contains_key(&self.names.leaving) && !self.server_leaving.replace(true) {
-            self.counters.set(Counter::ServerLeaving, 1);
-            log::info!("backend server announces that it leaves");
+        let name = self
+            .registry
+            .borrow()
+            .get(instance)
+            .map(|r| r.backend.name());
+        if let Some(name) = name {
+            self.record_leaving(&name, headers);
         }
     }
 
@@ -32,6 +36,20 @@
         if let Ok(limit) = read(headers, &self.names.rate_limit) {
             self.router.set_rate_limit(upstream, limit);
         }
+        self.record_leaving(upstream, headers);
+    }
+
+    fn record_leaving(&self, upstream: &UpstreamName, headers: &HeaderMap) {
+        if !headers.contains_key(&self.names.leaving) {
+            return;
+        }
+        let mut registry = self.registry.borrow_mut();
+        let is_new = registry.mark_leaving(upstream, Instant::now());
+        drop(registry);
+        if is_new {
+            log::info!(backend:% = upstream; "backend server announces that it leaves");
+            self.apply_registry();
+        }
     }
 
     /// Writes the rate limit of a backend server for its node, which may have restarted since the
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -138,6 +138,7 @@
     let pending = PendingResponse {
         mesh,
         context,
+        instance,
         permit,
         sent,
     };
@@ -202,6 +203,7 @@
 struct PendingResponse<'a, N, D> {
     mesh: &'a Mesh<N, D>,
     context: &'a RequestContext,
+    instance: &'a InstanceId,
     permit: Permit,
     sent: Instant,
 }
@@ -213,7 +215,8 @@
             return self.fail(lease, invalid_reason);
         }
         if head.status != StatusCode::MISDIRECTED_REQUEST {
-            self.mesh.record_announcements(&head.headers, self.sent);
+            let (mesh, headers) = (self.mesh, &head.headers);
+            mesh.record_announcements(self.instance, headers, self.sent);
         }
         // A response without a length ends with the connection. The HTTP library reports a reset of
         // that connection as an error, so truncation is detected.
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -25,7 +25,7 @@
         id::{ClassName, Fingerprint, ServiceName, UpstreamName},
         level::Levels,
         mesh::{
-            backend::{InstanceId, Phase},
+            backend::InstanceId,
             calls::RunningRequests,
             downstream::{DownstreamLevels, Excluded},
             progress::Progress,
@@ -89,8 +89,6 @@
     pub links: Links<N>,
     /// Crash detection of the backend server.
     pub health: Rc<Health>,
-    /// Whether the backend server has announced that it leaves.
-    pub server_leaving: Cell<bool>,
     /// The known backend servers.
     pub registry: RefCell<Registry>,
     /// The routes in effect.
@@ -150,7 +148,6 @@
             pool: Pool::new(net.clone(), settings.server),
             links: Links::new(net.clone(), counters.clone()),
             health: Rc::default(),
-            server_leaving: Cell::new(false),
             registry: RefCell::new(Registry::new(removal_delay)),
             routes: RefCell::default(),
             listed: Cell::new(false),
@@ -224,7 +221,8 @@
         let Some(own) = registry.by_address(self.settings.server) else {
             return;
         };
-        let draining = own.backend.phase == Phase::Draining || own.missing_since.is_some();
+        let leaving = registry.is_leaving(&own.backend);
+        self.counters.set(Counter::ServerLeaving, leaving.into());
         let id = Some(own.backend.id.clone());
         self.gate.resize(own.backend.slots.max(1));
         self.pool
@@ -233,7 +231,7 @@
             *self.own_id.borrow_mut() = id;
         }
         if !self.retiring.get() {
-            let state = if draining {
+            let state = if leaving || own.is_draining() {
                 GateState::Leaving
             } else {
                 GateState::Serving
@@ -242,11 +240,11 @@
         }
     }
 
-    /// Whether the entry of the backend server beside this node is draining or missing.
+    /// Whether the backend server beside this node leaves, or its entry is draining or missing.
     pub fn is_draining(&self) -> bool {
         let registry = self.registry.borrow();
         let own = registry.by_address(self.settings.server);
-        own.is_some_and(|b| b.backend.phase == Phase::Draining || b.missing_since.is_some())
+        own.is_some_and(|own| registry.is_leaving(&own.backend) || own.is_draining())
     }
 
     /// Reads the store revision that another node reports.
