Log the epoch of the platform's store and the revision read

Change: the epoch that the store states in its answers is logged when it changes, with the revision watched from; gauges, a counter and the dump show both. No decision depends on them yet.

--- a/src/protocol/directory.rs
+++ b/src/protocol/directory.rs
@@ -4,11 +4,12 @@
 
 use std::time::Duration;
 
-use http::HeaderName;
+use http::{HeaderMap, HeaderName};
 use thiserror::Error;
 
 use crate::state::mesh::{
     backend::{Backend, InstanceId},
+    revision::Epoch,
     route::RouteTable,
 };
 
@@ -121,6 +122,9 @@
     /// Path and query of a request that waits up to `wait` for changes after a revision.
     fn watch_path(&self, revision: u64, wait: Duration) -> String;
 
+    /// The epoch of the store that an answer states; `None` if it states none.
+    fn epoch(&self, headers: &HeaderMap) -> Option<Epoch>;
+
     /// Parses a page.
     ///
     /// # Errors
--- a/src/state/mesh/mod.rs
+++ b/src/state/mesh/mod.rs
@@ -5,6 +5,7 @@
 pub mod downstream;
 pub mod progress;
 pub mod registry;
+pub mod revision;
 pub mod route;
 pub mod settings;
 pub mod split;
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use thiserror::Error;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -15,6 +15,7 @@
             backend::{Backend, InstanceId},
             progress,
             registry::Change,
+            revision::Epoch,
             route::RouteTable,
         },
     },
@@ -54,6 +55,7 @@
         client: PlatformClient::new(mesh.net.clone(), mesh.settings.store),
         mesh,
         lost_since: None,
+        epoch: Epoch::default(),
     };
     tokio::select! {
         biased;
@@ -74,6 +76,7 @@
     mesh: Rc<Mesh<N, D>>,
     client: PlatformClient<N>,
     lost_since: Option<Instant>,
+    epoch: Epoch,
 }
 
 impl<N: Net, D: Directory> Follower<N, D> {
@@ -92,7 +95,8 @@
                     revision: at,
                     changed,
                 }) => {
-                    self.record_recovery();
+                    self.record_recovery(at);
+                    self.mesh.counters.set(Counter::ConfigReadTo, at);
                     self.mesh.progress.borrow_mut().read_to(at);
                     revision = Some(at);
                     backoff = BACKOFF_MIN_MS;
@@ -122,6 +126,7 @@
             let path = self.mesh.directory.list_path(after.as_deref());
             self.mesh.counters.add(Counter::ConfigReads, 1);
             let response = self.client.get(&path, RESPONSE_MAX_BYTES, timeout).await?;
+            self.record_epoch(&response.headers, None);
             let body = response.body.unwrap_or_default();
             let page = self.mesh.directory.parse_page(&body)?;
             // The watch continues from the first page's revision, so that it returns changes made
@@ -165,6 +170,7 @@
             response = self.client.get(&path, RESPONSE_MAX_BYTES, timeout) => response?,
             () = wait_until_behind(&self.mesh) => return Ok(ReadResult::Behind),
         };
+        self.record_epoch(&response.headers, Some(from));
         let body = response.body.unwrap_or_default();
         let changes = self.mesh.directory.parse_changes(&body)?;
         let (mut has_items, mut changed) = (false, false);
@@ -265,12 +271,26 @@
         }
     }
 
-    fn record_recovery(&mut self) {
+    /// Records the epoch that an answer states. `after` is the revision that was watched from.
+    fn record_epoch(&mut self, headers: &HeaderMap, after: Option<u64>) {
+        let Some(epoch) = self.mesh.directory.epoch(headers) else {
+            return;
+        };
+        self.mesh.counters.set(Counter::ConfigEpoch, epoch.0);
+        let before = std::mem::replace(&mut self.epoch, epoch);
+        if epoch != before && before != Epoch::default() {
+            self.mesh.counters.add(Counter::ConfigRestores, 1);
+            log::warn!(epoch:%, before:%, after; "store was restored from a copy");
+        }
+    }
+
+    fn record_recovery(&mut self, revision: u64) {
         let Some(since) = self.lost_since.take() else {
             return;
         };
         let away_ms = since.elapsed().as_millis() as u64;
-        log::info!(away_ms; "store is back");
+        let epoch = self.epoch;
+        log::info!(away_ms, epoch:%, revision; "store is back");
         let mut registry = self.mesh.registry.borrow_mut();
         registry.store_returned(Instant::now());
     }
--- a/src/transport/mesh/metrics.rs
+++ b/src/transport/mesh/metrics.rs
@@ -16,7 +16,9 @@
 
 use crate::{
     protocol::outcome::Outcome,
-    state::{histogram::Histogram, mesh::registry::BackendRecord, rate::RateLimit},
+    state::{
+        counters::Counter, histogram::Histogram, mesh::registry::BackendRecord, rate::RateLimit,
+    },
 };
 
 use super::{
@@ -135,6 +137,10 @@
             "zone": mesh.settings.zone,
             "ready": mesh.is_ready(),
             "leaving": mesh.retiring.get(),
+            "store": {
+                "epoch": mesh.counters.get(Counter::ConfigEpoch),
+                "read_to": mesh.counters.get(Counter::ConfigReadTo),
+            },
             "routes": routes.as_ref().map(|table| table.revision()),
             "gate": {
                 "load": mesh.gate.load().to_string(),
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, pin::Pin, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, StatusCode, header::HOST};
+use http::{HeaderMap, Request, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -44,6 +44,8 @@
 pub struct Answer {
     /// Version of the value, if the service sent a valid one.
     pub version: Option<String>,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The value; `None` if it has not changed.
     pub body: Option<Bytes>,
 }
@@ -149,10 +151,9 @@
     let text = header.and_then(|v| v.to_str().ok());
     let version = text.filter(|v| is_version(v)).map(str::to_owned);
     let status = response.status();
-    let body = match Limited::new(response.into_body(), max_bytes)
-        .collect()
-        .await
-    {
+    let (head, body) = response.into_parts();
+    let headers = head.headers;
+    let body = match Limited::new(body, max_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) if e.is::<LengthLimitError>() => {
             return Err(PlatformError::Body(format!(
@@ -164,10 +165,12 @@
     match status {
         StatusCode::OK => Ok(Answer {
             version,
+            headers,
             body: Some(body),
         }),
         StatusCode::NOT_MODIFIED => Ok(Answer {
             version,
+            headers,
             body: None,
         }),
         other => Err(PlatformError::Status(other)),
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -6,6 +6,7 @@
         id::ServiceName,
         mesh::{
             backend::{Backend as Entry, Phase},
+            revision::Epoch,
             route::{Bounds, Route, RouteTable, Service as Described, WeightedService},
             settings::{PlatformBounds, Settings as MeshSettings},
             window::Budget,
@@ -80,6 +81,10 @@
         format!("/{revision}/{}", wait.as_millis())
     }
 
+    fn epoch(&self, headers: &HeaderMap) -> Option<Epoch> {
+        header(headers, "x-epoch").parse().ok()
+    }
+
     fn parse_page(&self, body: &[u8]) -> comfreybay::protocol::directory::Result<Page> {
         let (items, revision) = self.read(body);
         Ok(Page {
