--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -15,8 +15,9 @@
 use http::{Response, StatusCode};
 use support::{
     Reply, local,
-    mesh::{MeshFleet, TestDirectory, names, route, sealed, table},
+    mesh::{MeshFleet, names, route, sealed, table},
     script,
+    store::TestDirectory,
 };
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -1,12 +1,16 @@
 //! A small in-memory fleet of nodes on a simulated platform with a fake directory store.
 
+use super::{
+    backend::Backend,
+    store::{FakeStore, STORE, TestDirectory, serve_store},
+    *,
+};
 use comfreybay::{
-    protocol::directory::{Changes, Directory, HeaderNames, Item, Page},
+    protocol::directory::{HeaderNames, Item},
     state::{
         id::ServiceName,
         mesh::{
             backend::{Backend as Entry, Phase},
-            revision::Epoch,
             route::{Bounds, Route, RouteTable, Service as Described, WeightedService},
             settings::{PlatformBounds, Settings as MeshSettings},
             window::Budget,
@@ -15,134 +19,13 @@
     transport::mesh::{Mesh, node},
 };
 use http::HeaderName;
-use tokio::sync::Notify;
-
-use super::{backend::Backend, *};
 
-const STORE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 8, 0, 1)), 9000);
 pub const OUTBOUND: u16 = 9001;
 pub const INBOUND: u16 = 9002;
 pub const READY: u16 = 9003;
 pub const SERVER: u16 = 9004;
 pub const METRICS: u16 = 9005;
 
-/// A fake directory store. An item's revision is its position in the list, counted from 1.
-#[derive(Default)]
-pub struct FakeStore {
-    items: RefCell<Vec<Item>>,
-    changed: Notify,
-    /// Whether the store answers every request with 503.
-    pub down: std::cell::Cell<bool>,
-    /// Each connection's node address, and whether the store has stopped answering on it.
-    conns: RefCell<Vec<(IpAddr, Rc<std::cell::Cell<bool>>)>>,
-    /// Number of watch requests received.
-    pub watches: std::cell::Cell<usize>,
-}
-
-impl FakeStore {
-    pub fn put(&self, item: impl FnOnce(u64) -> Item) {
-        let mut items = self.items.borrow_mut();
-        let revision = items.len() as u64 + 1;
-        items.push(item(revision));
-        self.changed.notify_waiters();
-    }
-
-    /// Stops answering on the connections that are open now from an address; later ones are
-    /// answered.
-    pub fn silence(&self, ip: IpAddr) {
-        for (_, silent) in self.conns.borrow().iter().filter(|(at, _)| *at == ip) {
-            silent.set(true);
-        }
-    }
-
-    fn revision(&self) -> u64 {
-        self.items.borrow().len() as u64
-    }
-}
-
-/// Decodes answers `FROM TO`: the items after revision FROM, up to TO.
-pub struct TestDirectory(pub Rc<FakeStore>);
-
-impl TestDirectory {
-    fn read(&self, body: &[u8]) -> (Vec<Item>, u64) {
-        let text = std::str::from_utf8(body).unwrap();
-        let (from, to) = text.split_once(' ').unwrap();
-        let (from, to): (usize, usize) = (from.parse().unwrap(), to.parse().unwrap());
-        (self.0.items.borrow()[from..to].to_vec(), to as u64)
-    }
-}
-
-impl Directory for TestDirectory {
-    fn list_path(&self, _after: Option<&str>) -> String {
-        "/0/0".to_owned()
-    }
-
-    fn watch_path(&self, revision: u64, wait: Duration) -> String {
-        format!("/{revision}/{}", wait.as_millis())
-    }
-
-    fn epoch(&self, headers: &HeaderMap) -> Option<Epoch> {
-        header(headers, "x-epoch").parse().ok()
-    }
-
-    fn parse_page(&self, body: &[u8]) -> comfreybay::protocol::directory::Result<Page> {
-        let (items, revision) = self.read(body);
-        Ok(Page {
-            items,
-            cursor: None,
-            revision,
-        })
-    }
-
-    fn parse_changes(&self, body: &[u8]) -> comfreybay::protocol::directory::Result<Changes> {
-        let (items, revision) = self.read(body);
-        Ok(Changes { items, revision })
-    }
-}
-
-async fn serve_store(net: MemoryNet, store: Rc<FakeStore>) {
-    let mut listener = net.bind(STORE).await.unwrap();
-    while let Ok((conn, from)) = listener.accept().await {
-        let silent = Rc::new(std::cell::Cell::new(false));
-        store.conns.borrow_mut().push((from.ip(), silent.clone()));
-        let store = store.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let (store, silent) = (store.clone(), silent.clone());
-            async move {
-                let answer = answer(&store, request.uri().path()).await;
-                if silent.get() {
-                    std::future::pending::<()>().await;
-                }
-                Ok::<_, Infallible>(answer)
-            }
-        });
-        let conn = hyper::server::conn::http1::Builder::new()
-            .serve_connection(TokioIo::new(conn), service);
-        tokio::task::spawn_local(conn);
-    }
-}
-
-async fn answer(store: &FakeStore, path: &str) -> Response<Full<Bytes>> {
-    let (from, wait) = path[1..].split_once('/').unwrap();
-    let (from, wait): (u64, u64) = (from.parse().unwrap(), wait.parse().unwrap());
-    if wait > 0 && !store.down.get() {
-        store.watches.set(store.watches.get() + 1);
-        let until = tokio::time::Instant::now() + Duration::from_millis(wait);
-        while store.revision() == from {
-            let changed = store.changed.notified();
-            if tokio::time::timeout_at(until, changed).await.is_err() {
-                break;
-            }
-        }
-    }
-    let text = format!("{from} {}", store.revision());
-    let mut response = Response::new(Full::from(text));
-    if store.down.get() {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    response
-}
-
 pub fn names() -> HeaderNames {
     let name = HeaderName::from_static;
     HeaderNames {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 pub mod mesh;
+pub mod store;
 
 use std::{
     cell::RefCell,
