Keep a drained run of a server out of use whatever the store lists later

Cause: the phase of a server was only what the store listed last. Change: a run (id and start) whose entry was once draining counts as leaving for good, like one that announces it in an answer. Result: drained_run_of_a_server_stays_out_of_use failed before (requests at the drained server) and passes now; a later run of the same server gets requests.

--- a/src/state/mesh/registry.rs
+++ b/src/state/mesh/registry.rs
@@ -91,7 +91,7 @@
     delay: RemovalDelay,
     outage_end: Option<Instant>,
     names: BTreeMap<UpstreamName, InstanceId>,
-    /// Runs of servers that have announced that they leave, with the time of the last announcement.
+    /// Runs of servers that leave, by an answer or by their entry, with the time of the last report.
     leaving: BTreeMap<UpstreamName, Instant>,
 }
 
@@ -117,6 +117,9 @@
             missing_since: None,
         };
         let name = record.backend.name();
+        if record.backend.phase == Phase::Draining {
+            self.leaving.insert(name.clone(), now);
+        }
         self.names.insert(name, record.backend.id.clone());
         let Some(known) = self.records.get_mut(&record.backend.id) else {
             self.records.insert(record.backend.id.clone(), record);
@@ -180,13 +183,13 @@
     /// Records that the server with an upstream name has announced in an answer that it leaves.
     /// Returns whether this is new.
     ///
-    /// It gets no more requests, whatever the store lists: a server does not come back from leaving
-    /// within one run.
+    /// It gets no more requests, whatever the store lists later: a server does not come back from
+    /// leaving within one run, but the store may list an older state.
     pub fn mark_leaving(&mut self, name: &UpstreamName, now: Instant) -> bool {
         self.leaving.insert(name.clone(), now).is_none()
     }
 
-    /// Whether a server has announced in an answer that it leaves.
+    /// Whether a server has announced that it leaves, or its entry has been draining.
     pub fn is_leaving(&self, backend: &Backend) -> bool {
         !self.leaving.is_empty() && self.leaving.contains_key(&backend.name())
     }
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -197,6 +197,39 @@
     .await;
 }
 
+/// Guards against requests to a run of a server that has been listed as draining and is then listed
+/// as ready, and against a later run that gets none.
+#[tokio::test(start_paused = true)]
+async fn drained_run_of_a_server_stays_out_of_use() {
+    local(async {
+        let fleet = fleet(&[("front", 1, 4), ("deep", 2, 4)]).await;
+        let ready = fleet.pairs["deep-0"].entry.clone();
+        let mut entry = ready.clone();
+        entry.phase = Phase::Draining;
+        fleet.put_entry(entry);
+        sleep(Duration::from_secs(1)).await;
+        fleet.remove_entry("deep-0");
+        sleep(Duration::from_secs(3)).await;
+        fleet.put_entry(ready.clone());
+        sleep(Duration::from_secs(1)).await;
+        for _ in 0..20 {
+            assert_eq!(status(&fleet, "front-0", "/a/").await, StatusCode::OK);
+        }
+        let of_first = |(server, _): &&(String, String)| server == "deep-0";
+        assert_eq!(fleet.runs.borrow().iter().filter(of_first).count(), 0);
+        let mut restarted = ready;
+        restarted.started_ms = Some(2);
+        fleet.put_entry(restarted);
+        // New servers start at a low weight.
+        sleep(Duration::from_secs(6)).await;
+        for _ in 0..40 {
+            assert_eq!(status(&fleet, "front-0", "/a/").await, StatusCode::OK);
+        }
+        assert!(fleet.runs.borrow().iter().filter(of_first).count() > 0);
+    })
+    .await;
+}
+
 /// Guards against a server that gets no requests because the copy still lists an earlier server at
 /// its address.
 #[tokio::test(start_paused = true)]
