Compare revisions of the store within their epoch

Cause: revisions of two counts were compared as if they were of one. A node that was cut off when the new count began watched from a revision of the old one; once the count had reached it, the store had nothing to answer, and what was written in between was never read. Reports of other nodes named lower numbers and were taken as old, as were entries that were written again. The class of fault: a position in a log that is kept without the identity of the log. Change: a revision is a pair of epoch and number, in records, in a node's progress and in what nodes report to each other. An answer of a new epoch makes a node list the store; one of an earlier epoch is refused. The first watch after a failed read, or after another node has read further, does not wait, so that its answer tells the epoch; its time limit of 2 s also ends dials that a cut has swallowed.

--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -38,7 +38,7 @@
 pub const INSTANCE: &str = "cb-instance";
 /// Rate limit that the backend server announced to the sending node, in requests per second.
 pub const RATE_LIMIT: &str = "cb-rate-limit";
-/// Revision of the latest item that a node has read from the platform's store.
+/// Epoch and revision of the latest item that a node has read from the platform's store.
 pub const REVISION: &str = "cb-revision";
 /// Longest useful wait in the queue, in ms.
 pub const MAX_WAIT_MS: &str = "cb-patience-ms";
--- a/src/state/mesh/progress.rs
+++ b/src/state/mesh/progress.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::revision::StoreRevision;
+
 /// Shortest duration of a watch.
 const WATCH_MIN: Duration = Duration::from_secs(1);
 /// Longest duration of a watch. The store's own limit is 30 s, less time for the answer to arrive.
@@ -20,25 +22,25 @@
 /// Revisions of the store known to a node.
 #[derive(Debug, Default)]
 pub struct Progress {
-    latest_item: u64,
-    read: u64,
-    reported: u64,
+    latest_item: StoreRevision,
+    read: StoreRevision,
+    reported: StoreRevision,
 }
 
 impl Progress {
     /// Records the revision of an item that was read.
-    pub fn seen(&mut self, revision: u64) {
+    pub fn seen(&mut self, revision: StoreRevision) {
         self.latest_item = self.latest_item.max(revision);
     }
 
     /// Records that everything up to a revision was read.
-    pub fn read_to(&mut self, revision: u64) {
+    pub fn read_to(&mut self, revision: StoreRevision) {
         self.read = self.read.max(revision);
     }
 
     /// Records the revision of the latest item that another node has read. Returns true if it is
     /// the highest reported so far and this node has not read up to it.
-    pub fn observe_peer(&mut self, revision: u64) -> bool {
+    pub fn observe_peer(&mut self, revision: StoreRevision) -> bool {
         let is_new = revision > self.reported && revision > self.read;
         self.reported = self.reported.max(revision);
         is_new
@@ -50,7 +52,7 @@
     }
 
     /// Revision of the latest item that was read, for the report to other nodes.
-    pub fn latest(&self) -> u64 {
+    pub fn latest(&self) -> StoreRevision {
         self.latest_item
     }
 }
--- a/src/state/mesh/registry.rs
+++ b/src/state/mesh/registry.rs
@@ -8,7 +8,10 @@
 
 use tokio::time::Instant;
 
-use super::backend::{Backend, InstanceId, Phase};
+use super::{
+    backend::{Backend, InstanceId, Phase},
+    revision::StoreRevision,
+};
 use crate::state::{
     id::{OwnerName, ServiceName, UpstreamName},
     object::Upstream,
@@ -37,9 +40,9 @@
     /// The entry that was read last.
     pub backend: Backend,
     /// Revision of the store at which the entry was written or removed.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Revision at which this run of the server was first found.
-    pub first_revision: u64,
+    pub first_revision: StoreRevision,
     /// When the entry was read.
     pub read_at: Instant,
     /// When the entry was found missing, if it is missing.
@@ -108,7 +111,12 @@
     }
 
     /// Records an entry; `None` if it changes nothing or is older than the known one.
-    pub fn update(&mut self, backend: Backend, revision: u64, now: Instant) -> Option<Change> {
+    pub fn update(
+        &mut self,
+        backend: Backend,
+        revision: StoreRevision,
+        now: Instant,
+    ) -> Option<Change> {
         let record = BackendRecord {
             backend,
             revision,
@@ -151,7 +159,12 @@
     }
 
     /// Records that the entry of a server was removed at a revision.
-    pub fn mark_missing(&mut self, id: &InstanceId, revision: u64, now: Instant) -> Option<Change> {
+    pub fn mark_missing(
+        &mut self,
+        id: &InstanceId,
+        revision: StoreRevision,
+        now: Instant,
+    ) -> Option<Change> {
         let known = self.records.get_mut(id)?;
         if revision < known.revision || known.missing_since.is_some() {
             return None;
@@ -237,8 +250,9 @@
     }
 
     /// The highest revision of any record.
-    pub fn revision(&self) -> u64 {
-        self.records.values().map(|b| b.revision).max().unwrap_or(0)
+    pub fn revision(&self) -> StoreRevision {
+        let revisions = self.records.values().map(|b| b.revision);
+        revisions.max().unwrap_or_default()
     }
 
     /// All records.
@@ -264,7 +278,7 @@
     pub fn upstreams(&self, port: u16) -> BTreeMap<ServiceName, Vec<Upstream>> {
         let mut all: BTreeMap<_, (Vec<_>, Vec<_>)> = BTreeMap::new();
         // An address that is reused belongs to the server that was found there last.
-        let mut last: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+        let mut last: BTreeMap<SocketAddr, StoreRevision> = BTreeMap::new();
         for record in self.records.values() {
             let revision = last.entry(record.backend.address).or_default();
             *revision = record.first_revision.max(*revision);
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -15,7 +15,7 @@
             backend::{Backend, InstanceId},
             progress,
             registry::Change,
-            revision::Epoch,
+            revision::{Epoch, StoreRevision},
             route::RouteTable,
         },
     },
@@ -34,6 +34,9 @@
 /// Time allowed for the watch to return after another node has reported a newer revision. The store
 /// takes a few ms to respond; if it is slower, renewing the watch costs only one more read.
 const CATCH_UP_MS: u64 = 300;
+/// Shortest time for which a watch can wait.
+const REJOIN_WATCH: Duration = Duration::from_millis(1);
+/// Time allowed for an answer that the store does not hold back.
 const PAGE_TIMEOUT_MS: u64 = 2_000;
 const RESPONSE_MAX_BYTES: usize = 8 * 1_024 * 1_024;
 const BACKOFF_MIN_MS: u64 = 100;
@@ -45,6 +48,8 @@
     Read(#[from] PlatformError),
     #[error(transparent)]
     Malformed(#[from] DirectoryError),
+    #[error("could not use the answer of the store: it is from epoch {0}, expected at least {1}")]
+    OldEpoch(Epoch, Epoch),
 }
 
 type Result<T, E = FollowError> = std::result::Result<T, E>;
@@ -56,6 +61,7 @@
         mesh,
         lost_since: None,
         epoch: Epoch::default(),
+        is_rejoining: false,
     };
     tokio::select! {
         biased;
@@ -67,7 +73,12 @@
 /// Result of a list or a watch.
 enum ReadResult {
     /// The store was read up to this revision.
-    UpTo { revision: u64, changed: bool },
+    UpTo {
+        revision: StoreRevision,
+        changed: bool,
+    },
+    /// The store was restored from a copy, so it has to be listed again.
+    Restored,
     /// Another node has read a newer revision, so this node's connection to the store may be dead.
     Behind,
 }
@@ -77,6 +88,10 @@
     client: PlatformClient<N>,
     lost_since: Option<Instant>,
     epoch: Epoch,
+    /// Whether the store may have been restored since the last answer. The next watch then does not
+    /// wait: a revision of an earlier epoch may not have been reached again yet, so the store would
+    /// not answer.
+    is_rejoining: bool,
 }
 
 impl<N: Net, D: Directory> Follower<N, D> {
@@ -96,19 +111,25 @@
                     changed,
                 }) => {
                     self.record_recovery(at);
-                    self.mesh.counters.set(Counter::ConfigReadTo, at);
+                    self.mesh.counters.set(Counter::ConfigReadTo, at.revision);
                     self.mesh.progress.borrow_mut().read_to(at);
-                    revision = Some(at);
+                    self.is_rejoining = false;
+                    revision = Some(at.revision);
                     backoff = BACKOFF_MIN_MS;
                     if changed {
                         pause = progress::watch_pause(pause, started.elapsed());
                         sleep(pause).await;
                     }
                 }
-                Ok(ReadResult::Behind) => self.log_behind(),
+                Ok(ReadResult::Restored) => revision = None,
+                Ok(ReadResult::Behind) => {
+                    self.log_behind();
+                    self.is_rejoining = true;
+                }
                 Err(FollowError::Read(PlatformError::Status(StatusCode::GONE))) => revision = None,
                 Err(error) => {
                     self.record_failure(&error);
+                    self.is_rejoining = true;
                     let jitter = 0.5 + self.mesh.rng.borrow_mut().f64();
                     sleep(Duration::from_millis(backoff).mul_f64(jitter)).await;
                     backoff = (backoff * 2).min(BACKOFF_MAX_MS);
@@ -126,7 +147,10 @@
             let path = self.mesh.directory.list_path(after.as_deref());
             self.mesh.counters.add(Counter::ConfigReads, 1);
             let response = self.client.get(&path, RESPONSE_MAX_BYTES, timeout).await?;
-            self.record_epoch(&response.headers, None);
+            let is_restored = self.record_epoch(&response.headers, None)?;
+            if is_restored && revision.is_some() {
+                return Ok(ReadResult::Restored);
+            }
             let body = response.body.unwrap_or_default();
             let page = self.mesh.directory.parse_page(&body)?;
             // The watch continues from the first page's revision, so that it returns changes made
@@ -154,15 +178,19 @@
         self.mesh.listed.set(true);
         self.mesh.apply_registry();
         Ok(ReadResult::UpTo {
-            revision: revision.unwrap_or_default(),
+            revision: self.at(revision.unwrap_or_default()),
             changed: true,
         })
     }
 
     async fn watch(&mut self, from: u64) -> Result<ReadResult> {
         let nodes = self.mesh.registry.borrow().len();
-        let watch_time = progress::watch_duration(nodes, &mut self.mesh.rng.borrow_mut());
+        let watch_time = match self.is_rejoining {
+            true => REJOIN_WATCH,
+            false => progress::watch_duration(nodes, &mut self.mesh.rng.borrow_mut()),
+        };
         let timeout = watch_time + Duration::from_millis(WATCH_TIMEOUT_EXTRA_MS);
+        let timeout = timeout.max(Duration::from_millis(PAGE_TIMEOUT_MS));
         let path = self.mesh.directory.watch_path(from, watch_time);
         self.mesh.counters.add(Counter::ConfigReads, 1);
         let response = tokio::select! {
@@ -170,7 +198,9 @@
             response = self.client.get(&path, RESPONSE_MAX_BYTES, timeout) => response?,
             () = wait_until_behind(&self.mesh) => return Ok(ReadResult::Behind),
         };
-        self.record_epoch(&response.headers, Some(from));
+        if self.record_epoch(&response.headers, Some(from))? {
+            return Ok(ReadResult::Restored);
+        }
         let body = response.body.unwrap_or_default();
         let changes = self.mesh.directory.parse_changes(&body)?;
         let (mut has_items, mut changed) = (false, false);
@@ -182,49 +212,46 @@
             self.mesh.apply_registry();
         }
         Ok(ReadResult::UpTo {
-            revision: changes.revision.max(from),
+            revision: self.at(changes.revision.max(from)),
             changed: has_items,
         })
     }
 
     /// Applies one item; returns whether the record of a backend server changed.
     fn apply_item(&self, item: Item) -> bool {
-        self.mesh.progress.borrow_mut().seen(item.revision());
+        let revision = self.at(item.revision());
+        self.mesh.progress.borrow_mut().seen(revision);
         match item {
             Item::Backend {
-                entry: Ok(backend),
-                revision,
-                ..
+                entry: Ok(backend), ..
             } => self.update_backend(backend, revision),
             Item::Backend {
                 id,
                 entry: Err(error),
-                revision,
+                ..
             } => {
                 self.mesh.counters.add(Counter::ConfigInvalid, 1);
-                log::warn!(id:%, revision, error:%; "entry of a backend server is ignored");
+                log::warn!(id:%, revision:%, error:%; "entry of a backend server is ignored");
                 false
             }
-            Item::Removed { id, revision } => self.mark_backend_missing(&id, revision),
+            Item::Removed { id, .. } => self.mark_backend_missing(&id, revision),
             Item::Routes {
-                table: Ok(table),
-                revision,
+                table: Ok(table), ..
             } => {
                 self.update_routes(table, revision);
                 false
             }
             Item::Routes {
-                table: Err(error),
-                revision,
+                table: Err(error), ..
             } => {
                 self.mesh.counters.add(Counter::ConfigInvalid, 1);
-                log::warn!(revision, error:%; "routes are ignored");
+                log::warn!(revision:%, error:%; "routes are ignored");
                 false
             }
         }
     }
 
-    fn update_backend(&self, backend: Backend, revision: u64) -> bool {
+    fn update_backend(&self, backend: Backend, revision: StoreRevision) -> bool {
         let (id, service) = (backend.id.clone(), backend.service.clone());
         let mut registry = self.mesh.registry.borrow_mut();
         let change = registry.update(backend, revision, Instant::now());
@@ -233,32 +260,32 @@
         };
         if change != Change::Updated {
             let change = change.as_str();
-            log::info!(backend:% = id, service:%, revision, change; "backend server changed");
+            log::info!(backend:% = id, service:%, revision:%, change; "backend server changed");
         }
         true
     }
 
-    fn mark_backend_missing(&self, id: &InstanceId, revision: u64) -> bool {
+    fn mark_backend_missing(&self, id: &InstanceId, revision: StoreRevision) -> bool {
         let mut registry = self.mesh.registry.borrow_mut();
         let change = registry.mark_missing(id, revision, Instant::now());
         if change.is_some() {
-            log::info!(backend:% = id, revision; "entry of a backend server was removed");
+            log::info!(backend:% = id, revision:%; "entry of a backend server was removed");
         }
         change.is_some()
     }
 
-    fn update_routes(&self, table: RouteTable, at: u64) {
+    fn update_routes(&self, table: RouteTable, at: StoreRevision) {
         let current = self.mesh.routes.borrow().as_ref().map(|t| t.revision());
         let revision = table.revision();
         if current.is_some_and(|current| revision <= current) {
             if current.is_some_and(|current| revision < current) {
                 self.mesh.counters.add(Counter::ConfigOlder, 1);
-                log::warn!(revision:%, at; "older routes are ignored");
+                log::warn!(revision:%, at:%; "older routes are ignored");
             }
             return;
         }
         let routes = table.routes().count();
-        log::info!(revision:%, at, routes; "routes are in effect");
+        log::info!(revision:%, at:%, routes; "routes are in effect");
         self.mesh.counters.add(Counter::ConfigAccepted, 1);
         self.mesh.apply_routes(table);
     }
@@ -271,26 +298,38 @@
         }
     }
 
-    /// Records the epoch that an answer states. `after` is the revision that was watched from.
-    fn record_epoch(&mut self, headers: &HeaderMap, after: Option<u64>) {
+    /// A revision of the present epoch.
+    fn at(&self, revision: u64) -> StoreRevision {
+        let epoch = self.epoch;
+        StoreRevision { epoch, revision }
+    }
+
+    /// Records the epoch that an answer states, and returns whether it is a new one. `after` is the
+    /// revision that was watched from.
+    fn record_epoch(&mut self, headers: &HeaderMap, after: Option<u64>) -> Result<bool> {
+        let before = self.epoch;
         let Some(epoch) = self.mesh.directory.epoch(headers) else {
-            return;
+            return Ok(false);
         };
+        if epoch < before {
+            return Err(FollowError::OldEpoch(epoch, before));
+        }
+        self.epoch = epoch;
+        let is_restored = epoch > before && before != Epoch::default();
         self.mesh.counters.set(Counter::ConfigEpoch, epoch.0);
-        let before = std::mem::replace(&mut self.epoch, epoch);
-        if epoch != before && before != Epoch::default() {
+        if is_restored {
             self.mesh.counters.add(Counter::ConfigRestores, 1);
             log::warn!(epoch:%, before:%, after; "store was restored from a copy");
         }
+        Ok(is_restored)
     }
 
-    fn record_recovery(&mut self, revision: u64) {
+    fn record_recovery(&mut self, at: StoreRevision) {
         let Some(since) = self.lost_since.take() else {
             return;
         };
         let away_ms = since.elapsed().as_millis() as u64;
-        let epoch = self.epoch;
-        log::info!(away_ms, epoch:%, revision; "store is back");
+        log::info!(away_ms, at:%; "store is back");
         let mut registry = self.mesh.registry.borrow_mut();
         registry.store_returned(Instant::now());
     }
@@ -298,7 +337,7 @@
     fn log_behind(&self) {
         self.mesh.counters.add(Counter::ConfigBehind, 1);
         let latest = self.mesh.progress.borrow().latest();
-        log::info!(latest; "another node has read further; the watch is renewed");
+        log::info!(latest:%; "another node has read further; the watch is renewed");
     }
 }
 
--- a/src/transport/mesh/metrics.rs
+++ b/src/transport/mesh/metrics.rs
@@ -163,7 +163,7 @@
         "address": record.backend.address,
         "phase": format!("{:?}", record.backend.phase).to_lowercase(),
         "slots": record.backend.slots,
-        "revision": record.revision,
+        "revision": record.revision.to_string(),
         "age_ms": age(record.read_at),
         "missing_ms": record.missing_since.map(age),
     })
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -208,7 +208,7 @@
         let expired = mesh.registry.borrow_mut().expire(now);
         for record in &expired {
             let age_ms = now.duration_since(record.read_at).as_millis() as u64;
-            log::info!(backend:% = record.backend.id, revision = record.revision, age_ms; "backend server is taken as gone");
+            log::info!(backend:% = record.backend.id, revision:% = record.revision, age_ms; "backend server is taken as gone");
         }
         if !expired.is_empty() {
             mesh.apply_registry();
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -30,6 +30,7 @@
             downstream::{DownstreamLevels, Excluded},
             progress::Progress,
             registry::{Registry, RemovalDelay},
+            revision::StoreRevision,
             route::{Route, RouteTable},
             settings::Settings,
             split::WeightedRoundRobin,
@@ -249,7 +250,7 @@
 
     /// Reads the store revision that another node reports.
     pub fn read_progress(&self, headers: &HeaderMap) {
-        let revision: Option<u64> = read(headers, header::REVISION).ok().flatten();
+        let revision: Option<StoreRevision> = read(headers, header::REVISION).ok().flatten();
         if revision.is_some_and(|r| self.progress.borrow_mut().observe_peer(r)) {
             self.behind_notify.notify_one();
         }
--- a/src/transport/mesh/trace.rs
+++ b/src/transport/mesh/trace.rs
@@ -95,7 +95,7 @@
     let elapsed_ms = ms(arrived.elapsed());
     let routes = mesh.routes.borrow().as_ref().map_or(0, |t| t.revision().0);
     let backends = mesh.registry.borrow().revision();
-    log::log!(target: REQUEST, level, id, class:%, begun, importance, service:%, last, attempts, outcome:%, status, why, elapsed_ms, routes, backends; "answered");
+    log::log!(target: REQUEST, level, id, class:%, begun, importance, service:%, last, attempts, outcome:%, status, why, elapsed_ms, routes, backends:%; "answered");
 }
 
 /// Where a request was sent, for the log.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -13,6 +13,7 @@
             downstream::DownstreamLevels,
             progress::{Progress, watch_duration},
             registry::{Change, Registry, RemovalDelay},
+            revision::{Epoch, StoreRevision},
             route::{Bounds, Error, Route, RouteTable, Service, WeightedService},
             split::WeightedRoundRobin,
             window::{Budget, RetryWindow},
@@ -52,6 +53,12 @@
     upstreams.map(|u| u.name.to_string()).collect()
 }
 
+/// A revision of the first epoch.
+fn at(revision: u64) -> StoreRevision {
+    let epoch = Epoch(1);
+    StoreRevision { epoch, revision }
+}
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -62,7 +69,7 @@
 fn expired_servers_stay_until_the_delay_after_a_store_outage() {
     let (mut registry, now) = (registry(), Instant::now());
     for host in 1..=3 {
-        registry.update(backend(&format!("i-{host}"), host), 1, now);
+        registry.update(backend(&format!("i-{host}"), host), at(1), now);
     }
     registry.store_returned(now);
     assert_eq!(registry.mark_unlisted(&BTreeSet::new(), now).len(), 3);
@@ -77,13 +84,13 @@
 fn single_missing_server_is_not_used() {
     let (mut registry, now) = (registry(), Instant::now());
     for host in 1..=3 {
-        registry.update(backend(&format!("i-{host}"), host), 1, now);
+        registry.update(backend(&format!("i-{host}"), host), at(1), now);
     }
-    let removed = registry.mark_missing(&"i-2".parse().unwrap(), 2, now);
+    let removed = registry.mark_missing(&"i-2".parse().unwrap(), at(2), now);
     assert_eq!(removed, Some(Change::Missing));
     assert_eq!(usable(&registry), ["i-1.1", "i-3.1"]);
     assert_eq!(
-        registry.update(backend("i-2", 2), 3, now),
+        registry.update(backend("i-2", 2), at(3), now),
         Some(Change::Returned)
     );
     assert_eq!(usable(&registry).len(), 3);
@@ -95,8 +102,8 @@
     let (mut registry, now) = (registry(), Instant::now());
     let mut draining = backend("i-1", 1);
     draining.phase = Phase::Draining;
-    registry.update(draining, 5, now);
-    assert_eq!(registry.update(backend("i-1", 1), 4, now), None);
+    registry.update(draining, at(5), now);
+    assert_eq!(registry.update(backend("i-1", 1), at(4), now), None);
     assert!(usable(&registry).is_empty());
 }
 
@@ -104,8 +111,8 @@
 #[test]
 fn address_belongs_to_the_latest_server() {
     let (mut registry, now) = (registry(), Instant::now());
-    registry.update(backend("i-old", 1), 1, now);
-    registry.update(backend("i-new", 1), 2, now);
+    registry.update(backend("i-old", 1), at(1), now);
+    registry.update(backend("i-new", 1), at(2), now);
     assert_eq!(usable(&registry), ["i-new.1"]);
     assert_eq!(
         registry
@@ -122,10 +129,10 @@
 #[test]
 fn restart_under_the_same_id_is_another_server() {
     let (mut registry, now) = (registry(), Instant::now());
-    registry.update(backend("i-1", 1), 1, now);
+    registry.update(backend("i-1", 1), at(1), now);
     let mut again = backend("i-1", 1);
     again.started_ms = Some(2);
-    assert_eq!(registry.update(again, 2, now), Some(Change::Joined));
+    assert_eq!(registry.update(again, at(2), now), Some(Change::Joined));
     assert_eq!(usable(&registry), ["i-1.2"]);
     assert!(registry.by_name(&"i-1.1".parse().unwrap()).is_none());
 }
@@ -256,7 +263,7 @@
     let (own, zone) = ("own".parse().unwrap(), "z".parse().unwrap());
     let router = Router::new(own, zone, Control::Ranked, rng);
     let mut registry = registry();
-    registry.update(backend("i-1", 1), 1, Instant::now());
+    registry.update(backend("i-1", 1), at(1), Instant::now());
     let services = registry.upstreams(PORT);
     router.replace(
         services
@@ -320,20 +327,20 @@
 #[test]
 fn peer_revision_counts_once() {
     let mut progress = Progress::default();
-    progress.seen(4);
-    progress.read_to(5);
+    progress.seen(at(4));
+    progress.read_to(at(5));
     assert_eq!(
         progress.latest(),
-        4,
+        at(4),
         "the store's own revision must not count as an item"
     );
-    assert!(!progress.observe_peer(5));
-    assert!(progress.observe_peer(7));
-    assert!(!progress.observe_peer(7));
+    assert!(!progress.observe_peer(at(5)));
+    assert!(progress.observe_peer(at(7)));
+    assert!(!progress.observe_peer(at(7)));
     assert!(progress.is_behind());
-    progress.read_to(7);
+    progress.read_to(at(7));
     assert!(!progress.is_behind());
-    assert!(progress.observe_peer(8));
+    assert!(progress.observe_peer(at(8)));
 }
 
 /// Guards against a read rate that grows with the fleet, and against watches that all end
