Give a reused address to the server that started there last

Cause: the owner of an address was the server that the node had found last; a restore makes an old entry appear last. Change: the owner is the one with the latest start, which the entries state; the order in which they were found decides only without it.

--- a/src/state/mesh/registry.rs
+++ b/src/state/mesh/registry.rs
@@ -298,16 +298,18 @@
     /// as they do after entries have expired because the store was unavailable.
     pub fn upstreams(&self, port: u16) -> BTreeMap<ServiceName, Vec<Upstream>> {
         let mut all: BTreeMap<_, (Vec<_>, Vec<_>)> = BTreeMap::new();
-        // An address that is reused belongs to the server that was found there last.
-        let mut last: BTreeMap<SocketAddr, StoreRevision> = BTreeMap::new();
+        // An address that is reused belongs to the server that started there last. Servers that do
+        // not state their start are compared by the order in which they were found.
+        let start = |record: &BackendRecord| (record.backend.started_ms, record.first_revision);
+        let mut last = BTreeMap::new();
         for record in self.records.values() {
-            let revision = last.entry(record.backend.address).or_default();
-            *revision = record.first_revision.max(*revision);
+            let latest = last.entry(record.backend.address).or_default();
+            *latest = start(record).max(*latest);
         }
         let usable = |b: &&BackendRecord| {
             b.backend.phase == Phase::Ready
                 && !self.is_leaving(&b.backend)
-                && last.get(&b.backend.address) == Some(&b.first_revision)
+                && last.get(&b.backend.address) == Some(&start(b))
         };
         for record in self.records.values().filter(usable) {
             let (listed, missing) = all.entry(record.backend.service.clone()).or_default();
