Log and count requests that the end of a stop cuts

No line said that a stop had cut a request: the node that sent it saw only a broken connection, as after a crash. The node beside the server now logs "cut by the end of the stop" with id, class, time run and time left of the grace period, bounded like the other lines of requests, and counts these in server.cut. Streamed answers that have begun are not included.

--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -103,6 +103,7 @@
 
     ServerCalls "server.calls" "calls" Total "Calls dispatched to the node's own backend server.",
     ServerSheds "server.sheds" "calls" Total "Calls that the backend server refused on its own.",
+    ServerCut "server.cut" "calls" Total "Calls that the backend server was running when the end of a stop cancelled them.",
     ServerLost "server.lost" "events" Total "Times that the backend server's connections were lost.",
     ServerRateLimit "server.rate-limit" "calls/s" Gauge "Rate limit that the backend server announces, rounded up; 0 if it announces none.",
     ServerLeaving "server.leaving" "flag" Gauge "1 after the backend server has announced that it leaves.",
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -149,10 +149,11 @@
 
 impl ListenerTasks {
     /// Accepts no new connections, closes the open ones after their requests, and cancels those
-    /// still open at `cancel_at`.
-    async fn end(&self, cancel_at: Instant) {
+    /// still open at `cancel_at`; the grace period ends at `grace_end`.
+    async fn end<N, D>(&self, mesh: &Mesh<N, D>, cancel_at: Instant, grace_end: Instant) {
         self.stop.drain.cancel();
         if timeout_at(cancel_at, self.tasks.join()).await.is_err() {
+            mesh.grace_end.set(Some(grace_end));
             self.stop.abort.cancel();
             self.tasks.join().await;
         }
@@ -174,8 +175,8 @@
     mesh.refusing_callers.set(true);
     wait_idle(mesh, started + grace.mul_f64(PEER_ADMIT_SHARE)).await;
     mesh.gate.set_state(GateState::Leaving);
-    peers.end(cancel_at).await;
-    callers.end(cancel_at).await;
+    peers.end(mesh, cancel_at, started + grace).await;
+    callers.end(mesh, cancel_at, started + grace).await;
 }
 
 /// Waits until neither callers nor other nodes have requests in progress, at most until `deadline`.
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -93,7 +93,10 @@
             lease.reuse();
             return refused(mesh, context, RefusalReason::Deadline);
         }
-        match exchange(mesh, context, instance, permit, lease).await {
+        let running = RunningGuard::start(mesh, context);
+        let exchanged = exchange(mesh, context, instance, permit, lease).await;
+        running.end();
+        match exchanged {
             Exchange::HostEnd(reply) => return *reply,
             Exchange::NotSent(unused) => permit = unused,
         }
@@ -125,7 +128,6 @@
 ) -> Exchange {
     let request = server_request(mesh, context, instance);
     mesh.counters.add(Counter::ServerCalls, 1);
-    let _running = RunningGuard::start(mesh, context);
     let sent = Instant::now();
     let sending = async {
         let response = lease.send(request).await;
@@ -149,28 +151,47 @@
     }
 }
 
-/// Lists a request in [`Mesh::calls`] while it runs at the backend server.
+/// Lists a request in [`Mesh::calls`] while it runs at the backend server, and reports it if the end
+/// of the stop cancels it.
 struct RunningGuard<'a, N, D> {
     mesh: &'a Mesh<N, D>,
-    id: String,
+    context: &'a RequestContext,
+    started: Instant,
+    has_ended: bool,
 }
 
 impl<'a, N, D> RunningGuard<'a, N, D> {
-    fn start(mesh: &'a Mesh<N, D>, context: &RequestContext) -> Self {
+    fn start(mesh: &'a Mesh<N, D>, context: &'a RequestContext) -> Self {
         let parent = Parent {
             root: context.root,
             importance: context.importance,
             class: context.class.clone(),
         };
-        let id = context.id(&mesh.names.attempt_id).to_owned();
-        mesh.calls.borrow_mut().started(&id, parent);
-        Self { mesh, id }
+        let id = context.id(&mesh.names.attempt_id);
+        mesh.calls.borrow_mut().started(id, parent);
+        Self {
+            mesh,
+            context,
+            started: Instant::now(),
+            has_ended: false,
+        }
+    }
+
+    fn end(mut self) {
+        self.has_ended = true;
     }
 }
 
 impl<N, D> Drop for RunningGuard<'_, N, D> {
     fn drop(&mut self) {
-        self.mesh.calls.borrow_mut().ended(&self.id);
+        let (mesh, context) = (self.mesh, self.context);
+        let id = context.id(&mesh.names.attempt_id);
+        mesh.calls.borrow_mut().ended(id);
+        if let Some(grace_end) = mesh.grace_end.get().filter(|_| !self.has_ended) {
+            mesh.counters.add(Counter::ServerCut, 1);
+            let left = grace_end.saturating_duration_since(Instant::now());
+            trace::cut(mesh, context, self.started.elapsed(), left);
+        }
     }
 }
 
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -104,6 +104,8 @@
     pub retiring: Cell<bool>,
     /// Whether requests from callers are refused, and connections closed after the next response.
     pub refusing_callers: Cell<bool>,
+    /// End of the grace period, set when the requests still in progress are cancelled.
+    pub grace_end: Cell<Option<Instant>>,
     /// Number of requests in progress that were received from this instance.
     pub local_requests: Cell<usize>,
     /// Counters and gauges.
@@ -156,6 +158,7 @@
             behind_notify: Notify::new(),
             retiring: Cell::new(false),
             refusing_callers: Cell::new(false),
+            grace_end: Cell::new(None),
             local_requests: Cell::new(0),
             counters,
             latency: Latency::default(),
--- a/src/transport/mesh/trace.rs
+++ b/src/transport/mesh/trace.rs
@@ -49,6 +49,16 @@
     log::info!(target: REQUEST, id, class:%, importance, begun, why:%, load:%, waited_ms, left_ms; "not admitted at the backend server");
 }
 
+/// Logs a request that the backend server was running when the end of the stop cancelled it.
+///
+/// `run` is how long it had run, `left` the rest of the grace period.
+pub fn cut<N, D>(mesh: &Mesh<N, D>, context: &RequestContext, run: Duration, left: Duration) {
+    let (id, class) = (context.id(&mesh.names.attempt_id), &context.class);
+    let (idempotent, begun) = (context.idempotent, context.begun);
+    let (run_ms, grace_left_ms) = (ms(run), ms(left));
+    log::info!(target: REQUEST, id, class:%, idempotent, begun, run_ms, grace_left_ms; "cut by the end of the stop");
+}
+
 /// Logs a response of the backend server that was discarded.
 pub fn unusable<N, D>(mesh: &Mesh<N, D>, context: &RequestContext, cause: &str, own: Duration) {
     let (id, class, own_ms) = (context.id(&mesh.names.attempt_id), &context.class, ms(own));
