--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -5,9 +5,12 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use comfreybay::transport::{
-    memory::{MemoryNet, Process},
-    net::Net,
+use comfreybay::{
+    state::counters::Counter,
+    transport::{
+        memory::{MemoryNet, Process},
+        net::Net,
+    },
 };
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -410,6 +413,30 @@
     local(assert_stops_interrupt_nothing(&[("front-0", 0)])).await;
 }
 
+/// Guards against a request that the end of a stop cuts without a trace in the counters.
+#[tokio::test(start_paused = true)]
+async fn request_cut_by_the_end_of_a_stop_is_counted() {
+    local(async {
+        let (script, cut) = worker();
+        let mut slow = route("a", "deep");
+        slow.timeout = Duration::from_secs(20);
+        let services = [("front", 1, 4), ("deep", 1, 4)];
+        let fleet = MeshFleet::with(&services, vec![slow], script).await;
+        let headers = [("x-id", "1"), ("x-left", "20000"), ("x-work", "15000")];
+        let post = fleet.post("front-0", "/a/", &headers);
+        let stop = async {
+            sleep(Duration::from_millis(50)).await;
+            fleet.pairs["deep-0"].stop.cancel();
+        };
+        let (answer, ()) = tokio::join!(post, stop);
+        assert_eq!(answer.unwrap().status, StatusCode::BAD_GATEWAY);
+        assert_eq!(cut.borrow().len(), 1);
+        let counters = &fleet.pairs["deep-0"].mesh.counters;
+        assert_eq!(counters.get(Counter::ServerCut), 1);
+    })
+    .await;
+}
+
 /// Guards against a last server that goes unused although its stopping node has time to finish a
 /// request, and against a request that is started there without that time.
 #[tokio::test(start_paused = true)]
