Admit beside a stopping node only what ends before the process does

Cause: a stopping node admitted calls until 70% of the grace period and cancelled what was running at 85%, whatever time the calls needed. The gate compared a call only with its caller's deadline. The class of fault: an admission that is not checked against the end of the process that has to keep it. Change: the gate keeps the longest duration of recent calls by class and knows the time by which they must have ended (90% of the grace period). A call that may take longer is refused unsent as `stopping`, at its arrival, after its wait and before it is sent; others are served longer than before. What is running is cancelled at 95%.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -60,6 +60,8 @@
     Deadline,
     /// The node is about to stop and admits no new calls.
     Leaving,
+    /// The process ends before a call of its class is sure to be complete.
+    Stopping,
     /// The process has resumed after a pause and is still refreshing its state.
     Waking,
     /// The request has crashed backend servers, so earlier attempts have run.
@@ -83,6 +85,7 @@
             Self::QueueTimeout => "waited",
             Self::Deadline => "deadline",
             Self::Leaving => "leaving",
+            Self::Stopping => "stopping",
             Self::Waking => "waking",
             Self::Convicted => "convicted",
             Self::RateLimit => "rate-limit",
@@ -237,6 +240,19 @@
         self.dispatch();
     }
 
+    /// Sets the time by which running calls must have ended because the process stops. From now on,
+    /// calls that may take longer are refused.
+    pub fn set_stop(&self, stop_at: Instant) {
+        self.core.borrow_mut().set_stop(stop_at);
+        self.dispatch();
+    }
+
+    /// Whether a call of a class that starts now ends before the process stops.
+    pub fn can_finish(&self, class: &ClassName, deadline: Instant) -> bool {
+        let core = self.core.borrow();
+        core.can_finish(class, deadline, Instant::now())
+    }
+
     /// Records that the server's connections were lost and returns the fingerprints of the requests
     /// that were in flight.
     ///
--- a/src/coordination/gate/classes.rs
+++ b/src/coordination/gate/classes.rs
@@ -14,12 +14,56 @@
 /// Interval without samples in which the expected duration halves, so that a class whose calls were
 /// all refused is eventually admitted again.
 const HALF_LIFE_S: f64 = 0.25;
+/// Time over which the longest duration of a class is kept; calls of the last one to two windows
+/// count.
+const LONGEST_WINDOW: Duration = Duration::from_secs(30);
+/// Margin on the longest duration, as a share of it.
+const LONGEST_MARGIN: f64 = 0.1;
+/// Further margin if only one call has ended; it shrinks with their number, as the longest of many
+/// is rarely exceeded.
+const SAMPLE_MARGIN: f64 = 0.5;
 
 #[derive(Debug, Default)]
 struct Class {
     in_use: u32,
     limit: Option<u32>,
     estimate: Option<(f64, Instant)>,
+    longest: Option<Longest>,
+}
+
+/// The longest duration of the calls that have ended in the current window and the one before, and
+/// their number.
+#[derive(Debug)]
+struct Longest {
+    current: (Duration, u32),
+    previous: (Duration, u32),
+    since: Instant,
+}
+
+impl Longest {
+    fn new(now: Instant) -> Self {
+        Self {
+            current: (Duration::ZERO, 0),
+            previous: (Duration::ZERO, 0),
+            since: now,
+        }
+    }
+
+    fn record(&mut self, duration: Duration, now: Instant) {
+        if now.saturating_duration_since(self.since) >= LONGEST_WINDOW {
+            self.previous = self.current;
+            (self.current, self.since) = ((Duration::ZERO, 0), now);
+        }
+        let (longest, count) = self.current;
+        self.current = (longest.max(duration), count.saturating_add(1));
+    }
+
+    /// Upper bound on the duration of a new call.
+    fn bound(&self) -> Duration {
+        let longest = self.current.0.max(self.previous.0);
+        let count = self.current.1.saturating_add(self.previous.1);
+        longest.mul_f64(1.0 + LONGEST_MARGIN + SAMPLE_MARGIN / f64::from(count.max(1)))
+    }
 }
 
 /// Per class: calls admitted or queued, the maximum set by `Limit` objects, and the duration of
@@ -67,6 +111,21 @@
         }
     }
 
+    /// Updates the longest duration from a call that was answered.
+    pub(super) fn record_longest(&mut self, class: &ClassName, duration: Duration, now: Instant) {
+        let Some(class) = self.classes.get_mut(class) else {
+            return;
+        };
+        let longest = class.longest.get_or_insert_with(|| Longest::new(now));
+        longest.record(duration, now);
+    }
+
+    /// Upper bound on the duration of a call of the class, from recent ones; `None` if unknown.
+    pub(super) fn max_duration(&self, class: &ClassName) -> Option<Duration> {
+        let longest = self.classes.get(class)?.longest.as_ref()?;
+        Some(longest.bound())
+    }
+
     /// Updates the expected duration from a call that was answered.
     pub(super) fn record_duration(&mut self, class: &ClassName, duration: Duration, now: Instant) {
         let Some(class) = self.classes.get_mut(class) else {
--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -57,6 +57,8 @@
     control: Control,
     rng: fastrand::Rng,
     state: GateState,
+    /// Time by which running calls must have ended, once the process is to stop.
+    stop_at: Option<Instant>,
     down: bool,
     slots: u32,
     limiter: Limiter,
@@ -90,6 +92,7 @@
             control,
             rng,
             state: GateState::Starting,
+            stop_at: None,
             down: false,
             slots,
             limiter: Limiter::new(slots, now),
@@ -175,6 +178,9 @@
                     Some(RefusalReason::Convicted)
                 }
                 request if due > request.deadline => Some(RefusalReason::Deadline),
+                request if !self.can_finish(&request.class, request.deadline, now) => {
+                    Some(RefusalReason::Stopping)
+                }
                 _ => None,
             };
             self.record_length();
@@ -233,6 +239,7 @@
                 self.controller.record_completion();
                 self.record_duration(duration);
                 self.classes.record_duration(&running.class, duration, now);
+                self.classes.record_longest(&running.class, duration, now);
                 self.isolation.record_completion(running.fingerprint, now);
             }
             CallEnd::Cancelled => self.classes.record_minimum(&running.class, duration, now),
@@ -323,6 +330,9 @@
         if now + self.expected_duration(request, now) >= request.deadline {
             return Some(RefusalReason::Deadline);
         }
+        if !self.can_finish(&request.class, request.deadline, now) {
+            return Some(RefusalReason::Stopping);
+        }
         if self.classes.is_full(&request.class) {
             return Some(RefusalReason::ClassLimit);
         }
--- a/src/coordination/gate/core/limits.rs
+++ b/src/coordination/gate/core/limits.rs
@@ -6,6 +6,7 @@
 
 use super::Core;
 use crate::state::{
+    id::ClassName,
     object::Control,
     priority::Level,
     queue::QueueKey,
@@ -56,6 +57,25 @@
         }
     }
 
+    pub(in super::super) fn set_stop(&mut self, stop_at: Instant) {
+        self.stop_at = Some(stop_at);
+    }
+
+    /// Whether a call that starts now ends before the process stops: it reaches its deadline before
+    /// that, or calls of its class are known to end in time.
+    pub(in super::super) fn can_finish(
+        &self,
+        class: &ClassName,
+        deadline: Instant,
+        now: Instant,
+    ) -> bool {
+        let Some(stop_at) = self.stop_at.filter(|at| deadline > *at) else {
+            return true;
+        };
+        let max = self.classes.max_duration(class);
+        max.is_some_and(|max| now + max <= stop_at)
+    }
+
     pub(super) fn has_room(&self, now: Instant) -> bool {
         self.in_flight() < self.limit() && self.rate.has_room(now)
     }
--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -74,6 +74,7 @@
     RefusedWaited "refused.waited" "calls" Total "Refused after the longest wait in the queue.",
     RefusedDeadline "refused.deadline" "calls" Total "Refused because the deadline could not be met.",
     RefusedLeaving "refused.leaving" "calls" Total "Refused because the node is leaving.",
+    RefusedStopping "refused.stopping" "calls" Total "Refused because the node may stop before they would end.",
     RefusedWaking "refused.waking" "calls" Total "Refused because the node is waking after a pause.",
     RefusedConvicted "refused.convicted" "calls" Total "Refused because the request crashes servers.",
     RefusedRate "refused.rate" "calls" Total "Refused because the rate limit that the backend server announces would delay them for too long.",
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -43,7 +43,7 @@
 /// Number of nodes that may refuse a request for lack of capacity before the caller gets the
 /// refusal.
 const REFUSALS_MAX: u32 = 2;
-/// Number of nodes that may be found unreachable, leaving or without a backend server before the
+/// Number of nodes that may be found unreachable, stopping or without a backend server before the
 /// request is refused.
 const UNREACHABLE_MAX: u32 = 4;
 
@@ -104,7 +104,7 @@
         summary.attempts += 1;
         summary.last = name.to_string();
         let reply = send(mesh, pick, context, parent).await;
-        if is_unavailable(&reply) {
+        if is_unavailable(&reply) && !is_stopping(&reply) {
             mesh.start_cooldown(&name);
         }
         if reply.why.as_deref() == Some(OTHER_INSTANCE) {
@@ -232,9 +232,16 @@
     }
 }
 
-/// Whether the node that refused a request is leaving, or its backend server is down.
+/// Whether the node that refused a request is leaving or stopping, or its backend server is down.
 fn is_unavailable(reply: &Reply) -> bool {
-    reply.leaving || reply.why.as_deref() == Some(reason_text(RefusalReason::Down))
+    reply.leaving
+        || is_stopping(reply)
+        || reply.why.as_deref() == Some(reason_text(RefusalReason::Down))
+}
+
+/// Whether the node may stop before this request would end; it still serves shorter ones.
+fn is_stopping(reply: &Reply) -> bool {
+    reply.why.as_deref() == Some(reason_text(RefusalReason::Stopping))
 }
 
 /// Retry delay sent to callers of a service without backend servers.
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -44,11 +44,10 @@
 const READY_NOTICE_SHARE: f64 = 0.4;
 /// Share of the grace period after which requests still in progress are cancelled; the rest is left
 /// for the process to exit on a busy instance.
-const CANCEL_SHARE: f64 = 0.85;
-/// Share of the grace period for which new requests of other nodes are admitted. The time from then
-/// to [`CANCEL_SHARE`], 15% of the period or 0.9 s of the usual 6 s, is left to finish the last
-/// ones.
-const PEER_ADMIT_SHARE: f64 = 0.7;
+const CANCEL_SHARE: f64 = 0.95;
+/// Share of the grace period by which admitted requests must have ended: only requests that are sure
+/// to end before are admitted. The time from then to [`CANCEL_SHARE`] is left for their answers.
+const FINISH_SHARE: f64 = 0.9;
 /// Interval of the checks whether requests are in progress.
 const IDLE_CHECK_MS: u64 = 20;
 /// Time for which requests stay queued after the backend server has begun to drain; they are then
@@ -164,16 +163,18 @@
 ///
 /// First the node reports that it is not ready, so that callers go elsewhere. Other nodes avoid it
 /// once a response reports that it is retiring, but no other node can reach the backend server, so
-/// their requests are served as long as needed. The outbound listener closes last, because the
+/// their requests are served as long as they are sure to end before the process does. The outbound listener closes last, because the
 /// backend server's own calls also arrive there.
 async fn drain<N: Net, D>(mesh: &Mesh<N, D>, callers: &ListenerTasks, peers: &ListenerTasks) {
     let (started, grace) = (Instant::now(), mesh.settings.bounds.grace);
     let cancel_at = started + grace.mul_f64(CANCEL_SHARE);
+    let finish_at = started + grace.mul_f64(FINISH_SHARE);
     mesh.retiring.set(true);
+    mesh.gate.set_stop(finish_at);
     let notice = Duration::from_millis(READY_NOTICE_MS);
     sleep(notice.min(grace.mul_f64(READY_NOTICE_SHARE))).await;
     mesh.refusing_callers.set(true);
-    wait_idle(mesh, started + grace.mul_f64(PEER_ADMIT_SHARE)).await;
+    wait_idle(mesh, finish_at).await;
     mesh.gate.set_state(GateState::Leaving);
     peers.end(mesh, cancel_at, started + grace).await;
     callers.end(mesh, cancel_at, started + grace).await;
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -93,6 +93,11 @@
             lease.reuse();
             return refused(mesh, context, RefusalReason::Deadline);
         }
+        // Time has passed since the admission if a connection had to be opened.
+        if !mesh.gate.can_finish(&context.class, context.deadline) {
+            lease.reuse();
+            return refused(mesh, context, RefusalReason::Stopping);
+        }
         let running = RunningGuard::start(mesh, context);
         let exchanged = exchange(mesh, context, instance, permit, lease).await;
         running.end();
