Accept a refusal only if it belongs to this sending of the request

Callers were told 503 for requests that were running. A server that wrote a refusal a second time, after the next request was on the connection, ended that request as not run: a response without an attempt ID was taken for that of the request in progress, and one with its ID as well when the refused request was sent again on the same connection. A status that callers take for a promise was also passed on without the statement that the request did not run.

A refusal now needs the attempt ID, once. A connection that has carried the refusal of an ID is not used for that ID again; after 16 refusals it is closed. A response without the ID is accepted only as the first on its connection. 408, 421, 429 and 503 without the statement, and a success with it, end as failed. Closing after each refusal would do as well, but costs the server a connection for each, when it has the least room.

A copy in the segment of the first or on an idle connection did no harm before either.

--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -82,7 +82,9 @@
         } else {
             NON_IDEMPOTENT_IDLE_MS
         });
-        let Ok(leased) = timeout_at(context.deadline, mesh.pool.lease_idle(idle)).await else {
+        let id = context.request.headers.get(&mesh.names.attempt_id);
+        let leased = mesh.pool.lease_idle(idle, id);
+        let Ok(leased) = timeout_at(context.deadline, leased).await else {
             return refused(mesh, context, RefusalReason::Deadline);
         };
         let Ok(lease) = leased else {
@@ -200,6 +202,17 @@
     }
 }
 
+/// Whether callers take a status as a promise that the request did not run and never will.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn ended(reply: Reply) -> Exchange {
     Exchange::HostEnd(Box::new(reply))
 }
@@ -237,7 +250,7 @@
 impl<N: Net, D> PendingResponse<'_, N, D> {
     async fn read_response(self, lease: Lease, response: Response<Incoming>) -> Reply {
         let (head, body) = response.into_parts();
-        if let Some(invalid_reason) = self.invalid_reason(&head) {
+        if let Some(invalid_reason) = self.invalid_reason(&head, lease.is_new()) {
             return self.fail(lease, invalid_reason);
         }
         if head.status != StatusCode::MISDIRECTED_REQUEST {
@@ -262,8 +275,16 @@
         let is_last = head.headers.get(CONNECTION).is_some_and(|v| v == "close");
         let body = match buffered {
             Buffered::Whole(bytes) => {
-                if !is_last {
-                    lease.reuse();
+                let id = self
+                    .context
+                    .request
+                    .headers
+                    .get(&self.mesh.names.attempt_id);
+                match id {
+                    _ if is_last => drop(lease),
+                    Some(id) if not_run => lease.reuse_refused(id.clone()),
+                    None if not_run => drop(lease),
+                    _ => lease.reuse(),
                 }
                 let end = if not_run {
                     CallEnd::Shed
@@ -298,14 +319,32 @@
     }
 
     /// Why a response can't be accepted: it belongs to another request, or the backend server did
-    /// not make it.
-    fn invalid_reason(&self, head: &response::Parts) -> Option<&'static str> {
+    /// not make it, or it promises without proof that the request did not run. `is_first` tells
+    /// whether it is the first response on its connection.
+    fn invalid_reason(&self, head: &response::Parts, is_first: bool) -> Option<&'static str> {
         let names = &self.mesh.names;
         let sent_id = self.context.request.headers.get(&names.attempt_id);
-        let returned_id = head.headers.get(&names.attempt_id);
-        if returned_id.is_some() && returned_id != sent_id {
+        let mut returned_ids = head.headers.get_all(&names.attempt_id).iter();
+        let returned_id = returned_ids.next();
+        if returned_id.is_some() && (returned_id != sent_id || returned_ids.next().is_some()) {
             return Some("response has the attempt ID of another request");
         }
+        let not_run = self.is_not_run(head);
+        // Servers echo the ID. Without it, an earlier response that was sent twice would be taken
+        // for this one.
+        let needs_id = match sent_id {
+            Some(_) => not_run || !is_first,
+            None => not_run && !is_first,
+        };
+        if returned_id.is_none() && needs_id {
+            return Some("response has no attempt ID");
+        }
+        if not_run && head.status.is_success() {
+            return Some("successful response states that the request did not run");
+        }
+        if !not_run && is_promise(head.status) {
+            return Some("status promises that the request did not run, which is not stated");
+        }
         if head.status.is_success() && !head.headers.contains_key(&names.seal) {
             return Some("successful response has no server seal");
         }
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
@@ -33,13 +33,24 @@
 const IDLE_MAX_MS: u64 = 15_000;
 /// Time for which a failed connection counts as a recent failure.
 const FAILURE_WINDOW_MS: u64 = 100;
+/// Refusals after which a connection is closed; bounds the attempt IDs kept for it.
+const REFUSALS_MAX: usize = 16;
 
 type Sender = SendRequest<Full<Bytes>>;
 
 #[derive(Debug)]
-struct Idle {
+struct Connection {
     sender: Sender,
     abort: AbortHandle,
+    /// Whether it has not carried a response yet.
+    is_new: bool,
+    /// Attempt IDs of the requests that the server has refused on it.
+    refused: Vec<HeaderValue>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
     idle_since: Instant,
 }
 
@@ -54,15 +65,20 @@
 
 impl Shared {
     /// Takes the most recently used connection, unless it has been idle for longer than `max_idle`.
-    fn take_idle(&self, max_idle: Duration) -> Option<Idle> {
+    ///
+    /// Closes connections on which a request with the attempt ID `id` was refused: a second copy of
+    /// that refusal could not be told from the response.
+    fn take_idle(&self, max_idle: Duration, id: Option<&HeaderValue>) -> Option<Connection> {
         loop {
             let mut all = self.idle.borrow_mut();
             if all.last()?.idle_since.elapsed() > max_idle {
                 return None;
             }
-            let idle = all.pop()?;
-            if !idle.sender.is_closed() {
-                return Some(idle);
+            let connection = all.pop()?.connection;
+            if id.is_some_and(|id| connection.refused.contains(id)) {
+                connection.abort.abort();
+            } else if !connection.sender.is_closed() {
+                return Some(connection);
             }
         }
     }
@@ -93,7 +109,7 @@
 /// A connection in use by one call; closed on drop unless [`Lease::reuse`] is called.
 #[derive(Debug)]
 pub struct Lease {
-    inner: Option<(Sender, AbortHandle)>,
+    inner: Option<Connection>,
     shared: Rc<Shared>,
     server: SocketAddr,
 }
@@ -108,10 +124,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         let server = self.server;
-        let Some((sender, _)) = &mut self.inner else {
+        let Some(connection) = &mut self.inner else {
             return Err(SendError::Unreachable(server));
         };
-        let sent = sender.try_send_request(request).await;
+        let sent = connection.sender.try_send_request(request).await;
         sent.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::Unreachable(server),
             None => SendError::Lost(server, error.into_error()),
@@ -120,22 +136,39 @@
 
     /// Returns the connection to the pool; the response must have been read to its end.
     pub fn reuse(mut self) {
-        let Some((sender, abort)) = self.inner.take() else {
+        let Some(mut connection) = self.inner.take() else {
             return;
         };
+        connection.is_new = false;
         self.shared.idle.borrow_mut().push(Idle {
-            sender,
-            abort,
+            connection,
             idle_since: Instant::now(),
         });
         self.shared.available.notify_one();
     }
+
+    /// Returns the connection to the pool after a refusal of the request with the attempt ID `id`;
+    /// it carries no further request with that ID.
+    pub fn reuse_refused(mut self, id: HeaderValue) {
+        let Some(connection) = &mut self.inner else {
+            return;
+        };
+        connection.refused.push(id);
+        if connection.refused.len() < REFUSALS_MAX {
+            self.reuse();
+        }
+    }
+
+    /// Whether the connection has not carried a response yet.
+    pub fn is_new(&self) -> bool {
+        self.inner.as_ref().is_some_and(|c| c.is_new)
+    }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if let Some((_, abort)) = self.inner.take() {
-            abort.abort();
+        if let Some(connection) = self.inner.take() {
+            connection.abort.abort();
         }
     }
 }
@@ -176,18 +209,24 @@
     /// # Errors
     /// The server can't be reached.
     pub async fn lease(&self) -> Result<Lease, SendError> {
-        self.lease_idle(Duration::from_millis(IDLE_MAX_MS)).await
+        self.lease_idle(Duration::from_millis(IDLE_MAX_MS), None)
+            .await
     }
 
-    /// A connection for one call, either new or idle for at most `max_idle`.
+    /// A connection for one call with the attempt ID `id`, either new or idle for at most
+    /// `max_idle`.
     ///
     /// # Errors
     /// The server can't be reached.
-    pub async fn lease_idle(&self, max_idle: Duration) -> Result<Lease, SendError> {
+    pub async fn lease_idle(
+        &self,
+        max_idle: Duration,
+        id: Option<&HeaderValue>,
+    ) -> Result<Lease, SendError> {
         loop {
-            while let Some(mut idle) = self.shared.take_idle(max_idle) {
-                if idle.sender.ready().await.is_ok() {
-                    return Ok(self.new_lease(idle.sender, idle.abort));
+            while let Some(mut connection) = self.shared.take_idle(max_idle, id) {
+                if connection.sender.ready().await.is_ok() {
+                    return Ok(self.new_lease(connection));
                 }
             }
             if let Some(guard) = ConnectionGuard::acquire(&self.shared) {
@@ -220,14 +259,19 @@
             }
         });
         let ready = sender.ready().await;
-        let lease = self.new_lease(sender, abort);
+        let lease = self.new_lease(Connection {
+            sender,
+            abort,
+            is_new: true,
+            refused: Vec::new(),
+        });
         ready.map_err(|_| SendError::Unreachable(self.server))?;
         Ok(lease)
     }
 
-    fn new_lease(&self, sender: Sender, abort: AbortHandle) -> Lease {
+    fn new_lease(&self, connection: Connection) -> Lease {
         Lease {
-            inner: Some((sender, abort)),
+            inner: Some(connection),
             shared: self.shared.clone(),
             server: self.server,
         }
@@ -255,11 +299,13 @@
     pub fn prune(&self) {
         let now = Instant::now();
         let max_idle = Duration::from_millis(IDLE_MAX_MS);
-        let stale = |i: &Idle| now.duration_since(i.idle_since) > max_idle || i.sender.is_closed();
+        let stale = |i: &Idle| {
+            now.duration_since(i.idle_since) > max_idle || i.connection.sender.is_closed()
+        };
         let mut idle = self.shared.idle.borrow_mut();
         idle.iter()
             .filter(|i| stale(i))
-            .for_each(|i| i.abort.abort());
+            .for_each(|i| i.connection.abort.abort());
         idle.retain(|i| !stale(i));
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 pub mod mesh;
+pub mod raw;
 pub mod store;
 
 use std::{
