Close a connection after a shed answer without an ID

A second copy of a shed answer, written after the next call was on the connection, ended that call as not-run while it ran. Answers of these servers carry no ID, so a connection that has carried a shed answer isn't used again.

repeated_shed_answer_is_not_the_answer_of_the_next_call failed before: not-run instead of complete.

--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -110,6 +110,7 @@
 #[derive(Debug)]
 pub struct Lease {
     inner: Option<Connection>,
+    is_last: bool,
     shared: Rc<Shared>,
     server: SocketAddr,
 }
@@ -136,6 +137,9 @@
 
     /// Returns the connection to the pool; the response must have been read to its end.
     pub fn reuse(mut self) {
+        if self.is_last {
+            return;
+        }
         let Some(mut connection) = self.inner.take() else {
             return;
         };
@@ -159,6 +163,11 @@
         }
     }
 
+    /// Makes this call the last one on the connection.
+    pub fn set_last(&mut self) {
+        self.is_last = true;
+    }
+
     /// Whether the connection has not carried a response yet.
     pub fn is_new(&self) -> bool {
         self.inner.as_ref().is_some_and(|c| c.is_new)
@@ -272,6 +281,7 @@
     fn new_lease(&self, connection: Connection) -> Lease {
         Lease {
             inner: Some(connection),
+            is_last: false,
             shared: self.shared.clone(),
             server: self.server,
         }
--- a/src/transport/serve.rs
+++ b/src/transport/serve.rs
@@ -269,7 +269,7 @@
     plane: &DataPlane<N>,
     call: &CallRequest,
     open_call: OpenCall,
-    lease: Lease,
+    mut lease: Lease,
     response: Response<Incoming>,
 ) -> Reply {
     let (head, body) = response.into_parts();
@@ -293,6 +293,10 @@
         return Reply::failed("call-closed");
     };
     let shed = plane.node.is_shed(&head);
+    if shed {
+        // A second copy of this response would look like that of the next call.
+        lease.set_last();
+    }
     let (unused, egress_calls) = (closed.unused, closed.egress_calls);
     let body = match started {
         Buffered::Whole(bytes) => {
--- a/tests/faulty.rs
+++ b/tests/faulty.rs
@@ -7,8 +7,9 @@
 use comfreybay::state::mesh::route::Route;
 use http::StatusCode;
 use support::{
-    local,
+    Fleet, class, local,
     mesh::{MeshFleet, route, sealed},
+    ok, publication,
     raw::RawConn,
     script,
 };
@@ -238,3 +239,52 @@
     }
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
+
+/// Guards against a second copy of a shed answer that ends the next call on the connection as
+/// `not-run` while it runs.
+#[tokio::test(start_paused = true)]
+async fn repeated_shed_answer_is_not_the_answer_of_the_next_call() {
+    for delay_ms in [0, 20] {
+        local(async move {
+            let shed = "HTTP/1.1 503 Busy\r\nx-shed: 1\r\ncontent-length: 0\r\n\r\n";
+            let runs = Rc::new(RefCell::new(0));
+            let count = runs.clone();
+            let serve = move |mut conn: RawConn| {
+                let runs = count.clone();
+                async move {
+                    let mut refused = false;
+                    while let Some(request) = conn.read(false).await {
+                        match request.id.as_str() {
+                            "shed" => {
+                                conn.write(shed.as_bytes()).await;
+                                refused = true;
+                                continue;
+                            }
+                            "next" => *runs.borrow_mut() += 1,
+                            // Requests of the node itself.
+                            _ => {}
+                        }
+                        sleep(Duration::from_millis(delay_ms)).await;
+                        if refused {
+                            conn.write(shed.as_bytes()).await;
+                        }
+                        sleep(Duration::from_millis(RUN_MS)).await;
+                        conn.write(whole(&request.id).as_bytes()).await;
+                    }
+                }
+            };
+            let services = publication(&[("front", 1)], &[class("a")]);
+            let fleet = Fleet::start(services, script(|_| async { ok("") })).await;
+            fleet.replace_server("front-0", serve).await;
+            let post = async |id| {
+                let answer = fleet.post("front-0", "/a", &[("x-id", id)], "body").await;
+                answer.unwrap().outcome()
+            };
+            assert_eq!(post("shed").await, "not-run");
+            assert_eq!(*runs.borrow(), 0);
+            assert_eq!(post("next").await, "complete");
+            assert_eq!(*runs.borrow(), 1);
+        })
+        .await;
+    }
+}
