Reject answers whose end is stated twice or in an unknown way

An answer with a transfer encoding other than chunked was forwarded with 200, still encoded, as a body that ends with the connection or in chunks. Only an answer with neither length nor transfer encoding ends with its connection now; the others end as failed.

ambiguous_end_of_a_body_is_a_failure failed before for gzip and for gzip, chunked. answer_cut_at_any_byte_does_not_look_complete passed before and stays as a guard.

--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -87,6 +87,9 @@
     Length(u64),
     /// By the last chunk of an HTTP/1.1 response, which the HTTP library checks.
     Chunked,
+    /// By the end of the connection. The HTTP library reports a reset as an error; a connection that
+    /// ends in order is taken for the end of the body.
+    Close,
     /// By the `cb-length` trailer that a peer sends.
     ///
     /// The HTTP library reports an HTTP/2 stream reset with CANCEL as the end of the body, so the
@@ -162,7 +165,7 @@
 fn is_complete(framing: Framing, size: u64, announced: Option<u64>) -> bool {
     match framing {
         Framing::Length(length) => size == length,
-        Framing::Chunked => true,
+        Framing::Chunked | Framing::Close => true,
         Framing::Trailer => announced == Some(size),
         Framing::Empty => size == 0,
     }
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -22,7 +22,7 @@
 
 use super::{
     super::{
-        body::{Buffered, Framing, read_buffered},
+        body::{Buffered, read_buffered},
         link::SendError,
         net::Net,
         pool::Lease,
@@ -257,10 +257,10 @@
             let (mesh, headers) = (self.mesh, &head.headers);
             mesh.record_announcements(self.instance, headers, self.sent);
         }
-        // A response without a length ends with the connection. The HTTP library reports a reset of
-        // that connection as an error, so truncation is detected.
         let framing = server_framing(&self.context.request.method, &head);
-        let framing = framing.unwrap_or(Framing::Chunked);
+        let Some(framing) = framing else {
+            return self.fail(lease, "the end of its body can't be detected");
+        };
         let buffered = match timeout_at(self.context.deadline, read_buffered(body, framing)).await {
             Err(_) => {
                 self.permit.finish(self.sent.elapsed(), CallEnd::Cancelled);
--- a/src/transport/reply.rs
+++ b/src/transport/reply.rs
@@ -260,8 +260,8 @@
     }
 }
 
-/// How the end of a backend server's response is detected; `None` if only the end of the connection
-/// marks it.
+/// How the end of a backend server's response is detected; `None` if its head states this twice or in
+/// a way that is not supported.
 pub fn server_framing(method: &Method, head: &response::Parts) -> Option<Framing> {
     if is_bodiless(method, head.status) {
         return Some(Framing::Empty);
@@ -272,6 +272,9 @@
         let alone = !head.headers.contains_key(CONTENT_LENGTH);
         return (alone && encodings == [&chunked]).then_some(Framing::Chunked);
     }
+    if !head.headers.contains_key(CONTENT_LENGTH) {
+        return Some(Framing::Close);
+    }
     content_length(&head.headers).map(Framing::Length)
 }
 
--- a/src/transport/serve.rs
+++ b/src/transport/serve.rs
@@ -23,7 +23,7 @@
 };
 
 use super::{
-    body::{Buffered, read_buffered},
+    body::{Buffered, Framing, read_buffered},
     link::SendError,
     net::Net,
     node::{DataPlane, NodeContext},
@@ -273,7 +273,8 @@
     response: Response<Incoming>,
 ) -> Reply {
     let (head, body) = response.into_parts();
-    let Some(framing) = server_framing(&call.message.method, &head) else {
+    let framing = server_framing(&call.message.method, &head);
+    let Some(framing) = framing.filter(|f| *f != Framing::Close) else {
         return connection_failed(
             plane,
             open_call,
--- a/tests/faulty.rs
+++ b/tests/faulty.rs
@@ -7,7 +7,7 @@
 use comfreybay::state::mesh::route::Route;
 use http::StatusCode;
 use support::{
-    Fleet, class, local,
+    Answer, Fleet, class, local,
     mesh::{MeshFleet, route, sealed},
     ok, publication,
     raw::RawConn,
@@ -288,3 +288,171 @@
         .await;
     }
 }
+
+/// How the end of a body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Marked {
+    ByLength,
+    ByChunks,
+    ByTheEnd,
+}
+
+fn framed(marked: Marked, body: &str) -> String {
+    let head = "HTTP/1.1 200 OK\r\nx-kept: k\r\nx-id: 1\r\nx-seal: s\r\n";
+    match marked {
+        Marked::ByLength => format!("{head}content-length: {}\r\n\r\n{body}", body.len()),
+        Marked::ByChunks => {
+            let (a, b) = body.split_at(body.len() / 3);
+            let (n, m) = (a.len(), b.len());
+            format!(
+                "{head}transfer-encoding: chunked\r\n\r\n{n:x}\r\n{a}\r\n{m:x}\r\n{b}\r\n0\r\n\r\n"
+            )
+        }
+        Marked::ByTheEnd => format!("{head}\r\n{body}"),
+    }
+}
+
+/// Where to cut an answer: each position of its head, and positions of its body.
+fn cuts(answer: &str) -> Vec<usize> {
+    let head = answer.find("\r\n\r\n").unwrap() + 4;
+    let step = ((answer.len() - head) / 150).max(1);
+    let tail = answer.len().saturating_sub(12).max(head);
+    let body = (head..tail).step_by(step);
+    (0..head).chain(body).chain(tail..=answer.len()).collect()
+}
+
+/// Guards against an answer whose server stops in its head or body and that looks complete.
+#[tokio::test(start_paused = true)]
+async fn answer_cut_at_any_byte_does_not_look_complete() {
+    let mut faults = Vec::new();
+    for size in [120, 100 * 1_024] {
+        for marked in [Marked::ByLength, Marked::ByChunks, Marked::ByTheEnd] {
+            for (resets, kept) in [(false, false), (false, true), (true, false), (true, true)] {
+                for node in ["front-0", "deep-0"] {
+                    let case = format!("{size} {marked:?} resets: {resets} kept: {kept} {node}");
+                    let found = local(cut_everywhere(size, marked, (resets, kept), node)).await;
+                    faults.extend(found.iter().map(|f| format!("{case}: {f}")));
+                }
+            }
+        }
+    }
+    assert!(
+        faults.is_empty(),
+        "{}:\n{}",
+        faults.len(),
+        faults.join("\n")
+    );
+}
+
+async fn cut_everywhere(
+    size: usize,
+    marked: Marked,
+    (resets, kept): (bool, bool),
+    node: &str,
+) -> Vec<String> {
+    let body: String = (0..size)
+        .map(|n| char::from(b'a' + (n % 23) as u8))
+        .collect();
+    let answer = framed(marked, &body);
+    let bytes = answer.clone();
+    let serve = move |mut conn: RawConn| {
+        let answer = bytes.clone();
+        async move {
+            loop {
+                let Some(request) = conn.read(resets && (!kept || conn.count > 0)).await else {
+                    return;
+                };
+                let cut = request.path.strip_prefix("/a/cut/");
+                let Some(cut) = cut.map(|n| n.parse::<usize>().unwrap()) else {
+                    conn.write(whole(&request.id).as_bytes()).await;
+                    continue;
+                };
+                conn.write(&answer.as_bytes()[..cut]).await;
+                sleep(Duration::from_millis(2)).await;
+                return;
+            }
+        }
+    };
+    let fleet = fleet(route("a", "deep"), serve).await;
+    let head = answer.find("\r\n\r\n").unwrap() + 4;
+    let mut faults = Vec::new();
+    for cut in cuts(&answer) {
+        if kept {
+            let first = fleet.post(node, "/a/", &[("x-id", "0"), LEFT]).await;
+            assert_eq!(first.unwrap().status, StatusCode::OK);
+        }
+        let headers = [("x-id", "1"), LEFT];
+        let got = fleet.post(node, &format!("/a/cut/{cut}"), &headers).await;
+        // A body that ends with the connection is whole if the connection ends in order.
+        let (is_whole, sent) = match marked {
+            Marked::ByTheEnd if cut >= head && !resets => (true, &body[..cut - head]),
+            Marked::ByTheEnd => (false, ""),
+            _ => (cut == answer.len(), body.as_str()),
+        };
+        match got {
+            Ok(got) if got.status.is_success() => {
+                let matches = got.body == sent && got.header("x-kept") == "k";
+                if !is_whole || !matches || got.header("x-seal") != "s" {
+                    let (status, size) = (got.status, got.body.len());
+                    faults.push(format!("cut at {cut}: {status} with {size} bytes"));
+                }
+            }
+            Ok(got) if is_whole => faults.push(format!("whole answer: {}", got.status)),
+            Err(error) if is_whole => faults.push(format!("whole answer: {error}")),
+            Ok(got) if PROMISES.contains(&got.status.as_u16()) => {
+                faults.push(format!("cut at {cut}: {}", got.status));
+            }
+            Ok(_) | Err(_) => {}
+        }
+        // One lost connection at a time, so that the server doesn't count as crashed.
+        sleep(Duration::from_millis(300)).await;
+    }
+    faults
+}
+
+/// Guards against a short or empty body that looks complete because the head states its end twice,
+/// or in a way that is not known.
+#[tokio::test(start_paused = true)]
+async fn ambiguous_end_of_a_body_is_a_failure() {
+    let chunks = "5\r\nabcde\r\n0\r\n\r\n";
+    let heads = [
+        "transfer-encoding: gzip\r\n\r\nabcde".to_owned(),
+        // The chunks count, whatever length is stated.
+        format!("content-length: 2\r\ntransfer-encoding: chunked\r\n\r\n{chunks}"),
+        format!("content-length: 9\r\ntransfer-encoding: chunked\r\n\r\n{chunks}"),
+        format!("transfer-encoding: gzip, chunked\r\n\r\n{chunks}"),
+        "content-length: 2\r\ncontent-length: 5\r\n\r\nabcde".to_owned(),
+        "content-length: 2, 5\r\n\r\nabcde".to_owned(),
+        "content-length: \r\n\r\nabcde".to_owned(),
+        "content-length: +2\r\n\r\nabcde".to_owned(),
+        "content-length: 0x5\r\n\r\nabcde".to_owned(),
+    ];
+    let mut faults = Vec::new();
+    for head in heads {
+        for node in ["front-0", "deep-0"] {
+            let text = format!("HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n{head}");
+            let answer: Result<Answer, String> = local(async move {
+                let serve = move |mut conn: RawConn| {
+                    let text = text.clone();
+                    async move {
+                        if conn.read(false).await.is_some() {
+                            conn.write(text.as_bytes()).await;
+                        }
+                    }
+                };
+                let fleet = fleet(route("a", "deep"), serve).await;
+                fleet.post(node, "/a/", &[("x-id", "1"), LEFT]).await
+            })
+            .await;
+            let has_chunks = head.ends_with(chunks) && head.starts_with("content-length");
+            if let Ok(answer) = answer
+                && answer.status != StatusCode::BAD_GATEWAY
+                && !(has_chunks && answer.body == "abcde")
+            {
+                let (status, body) = (answer.status, answer.body);
+                faults.push(format!("{head:?} at {node}: {status} {body:?}"));
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
