--- a/tests/faulty.rs
+++ b/tests/faulty.rs
@@ -292,23 +292,23 @@
 /// How the end of a body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Marked {
-    ByLength,
-    ByChunks,
-    ByTheEnd,
+    Length,
+    Chunks,
+    Close,
 }
 
 fn framed(marked: Marked, body: &str) -> String {
     let head = "HTTP/1.1 200 OK\r\nx-kept: k\r\nx-id: 1\r\nx-seal: s\r\n";
     match marked {
-        Marked::ByLength => format!("{head}content-length: {}\r\n\r\n{body}", body.len()),
-        Marked::ByChunks => {
+        Marked::Length => format!("{head}content-length: {}\r\n\r\n{body}", body.len()),
+        Marked::Chunks => {
             let (a, b) = body.split_at(body.len() / 3);
             let (n, m) = (a.len(), b.len());
             format!(
                 "{head}transfer-encoding: chunked\r\n\r\n{n:x}\r\n{a}\r\n{m:x}\r\n{b}\r\n0\r\n\r\n"
             )
         }
-        Marked::ByTheEnd => format!("{head}\r\n{body}"),
+        Marked::Close => format!("{head}\r\n{body}"),
     }
 }
 
@@ -326,7 +326,7 @@
 async fn answer_cut_at_any_byte_does_not_look_complete() {
     let mut faults = Vec::new();
     for size in [120, 100 * 1_024] {
-        for marked in [Marked::ByLength, Marked::ByChunks, Marked::ByTheEnd] {
+        for marked in [Marked::Length, Marked::Chunks, Marked::Close] {
             for (resets, kept) in [(false, false), (false, true), (true, false), (true, true)] {
                 for node in ["front-0", "deep-0"] {
                     let case = format!("{size} {marked:?} resets: {resets} kept: {kept} {node}");
@@ -385,8 +385,8 @@
         let got = fleet.post(node, &format!("/a/cut/{cut}"), &headers).await;
         // A body that ends with the connection is whole if the connection ends in order.
         let (is_whole, sent) = match marked {
-            Marked::ByTheEnd if cut >= head && !resets => (true, &body[..cut - head]),
-            Marked::ByTheEnd => (false, ""),
+            Marked::Close if cut >= head && !resets => (true, &body[..cut - head]),
+            Marked::Close => (false, ""),
             _ => (cut == answer.len(), body.as_str()),
         };
         match got {
