Format only the log lines that are written

A node under overload logs each refusal.

The limit is checked before the line is formatted. The test counts the lines that are formatted: under 2,000 of 10,000. The former function took a formatted line, so the test does not compile there.

--- a/src/commands/log.rs
+++ b/src/commands/log.rs
@@ -43,9 +43,8 @@
     let sink = Sink::new(std::io::stdout(), dropped_line);
     let writer = sink.clone();
     let output = fern::Output::call(move |record| {
-        let mut line = line(format, SystemTime::now(), record);
-        line.push('\n');
-        writer.try_write(line, record.target() != REQUEST);
+        let line = || line(format, SystemTime::now(), record) + "\n";
+        writer.try_write_with(line, record.target() != REQUEST);
     });
     let dispatch = fern::Dispatch::new().level(level).chain(output);
     dispatch.apply().map_err(|_| Error::Log)?;
--- a/src/commands/sink.rs
+++ b/src/commands/sink.rs
@@ -72,12 +72,19 @@
     /// sink.close();
     /// ```
     pub fn try_write(&self, line: String, is_exempt: bool) {
+        self.try_write_with(|| line, is_exempt);
+    }
+
+    /// Like [`Sink::try_write`], but formats the line only if the rate limit lets it through.
+    pub fn try_write_with(&self, format: impl FnOnce() -> String, is_exempt: bool) {
         let shared = &self.0;
         let take = |bucket: &mut TokenBucket| bucket.try_take(Instant::now().into());
         let allowed = is_exempt || shared.bucket.lock().is_ok_and(|mut b| take(&mut b));
+        let line = allowed.then(format);
         let sender = shared.sender.lock();
-        let queued =
-            allowed && sender.is_ok_and(|s| s.as_ref().is_some_and(|s| s.try_send(line).is_ok()));
+        let queued = line.is_some_and(|line| {
+            sender.is_ok_and(|s| s.as_ref().is_some_and(|s| s.try_send(line).is_ok()))
+        });
         if !queued {
             shared.dropped.fetch_add(1, Ordering::Relaxed);
         }
--- a/src/commands/sink/tests.rs
+++ b/src/commands/sink/tests.rs
@@ -65,3 +65,20 @@
     );
     sink.close();
 }
+
+/// Guards against processor time spent on request lines that are dropped, which is most when the
+/// node refuses most.
+#[test]
+fn dropped_request_lines_are_not_formatted() {
+    let sink = Sink::new(io::sink(), report);
+    let mut formatted = 0;
+    for _ in 0..10_000 {
+        let line = || {
+            formatted += 1;
+            "line\n".to_owned()
+        };
+        sink.try_write_with(line, false);
+    }
+    assert!(formatted < 2_000, "{formatted}");
+    sink.close();
+}
