Name a server only for an answer that announces its end

The name of the server beside the node was formatted for each of its answers (1.6% of the node's time in a profile of 863 samples), and used only if the answer announces that the server leaves.

--- a/src/transport/mesh/announce.rs
+++ b/src/transport/mesh/announce.rs
@@ -20,6 +20,9 @@
     /// sent to `instance` at `sent`.
     pub fn record_announcements(&self, instance: &InstanceId, headers: &HeaderMap, sent: Instant) {
         self.record_rate_limit(headers, sent);
+        if !headers.contains_key(&self.names.leaving) {
+            return;
+        }
         let name = self
             .registry
             .borrow()
