Keep unique header values out of the compression table

Between nodes, ids, time left, load, revision and the server's seal differ for each request. Each was added to the compression table of the HTTP/2 connection (4 KiB) and displaced the values that recur, which were then added again.

These values are now sent as literals that are not indexed.

--- a/src/protocol/call.rs
+++ b/src/protocol/call.rs
@@ -65,6 +65,20 @@
     }
 }
 
+/// Writes a header whose value hardly ever recurs; see [`mark_unique`].
+pub fn write_unique(headers: &mut HeaderMap, name: &'static str, value: &impl Display) {
+    write(headers, name, value);
+    mark_unique(headers, &HeaderName::from_static(name));
+}
+
+/// Keeps the value of a header out of the compression table of an HTTP/2 connection, where values
+/// that hardly ever recur would displace those that do.
+pub fn mark_unique(headers: &mut HeaderMap, name: &HeaderName) {
+    if let Some(value) = headers.get_mut(name) {
+        value.set_sensitive(true);
+    }
+}
+
 /// What the headers of a call between nodes state about it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallHead {
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -12,7 +12,7 @@
         router::{AttemptEnd, Pick},
     },
     protocol::{
-        call::{read, read_outcome},
+        call::{mark_unique, read, read_outcome},
         header,
         outcome::Outcome,
     },
@@ -291,6 +291,7 @@
         }
     };
     context.write(instance, request.headers_mut());
+    mark_unique(request.headers_mut(), &mesh.names.attempt_id);
     mesh.write_progress(request.headers_mut());
     mesh.write_rate_limit(&pick.upstream().name, request.headers_mut());
     match timeout_at(context.deadline, mesh.links.send(to, request)).await {
--- a/src/transport/mesh/context.rs
+++ b/src/transport/mesh/context.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     protocol::{
-        call::{HeaderError, Result, read, read_required, write},
+        call::{HeaderError, Result, read, read_required, write, write_unique},
         header,
     },
     state::{
@@ -65,9 +65,9 @@
     /// Writes the metadata for the receiving node.
     pub fn write(&self, instance: &InstanceId, headers: &mut HeaderMap) {
         write(headers, header::CLASS, &self.class);
-        write(headers, header::ROOT, &self.root);
+        write_unique(headers, header::ROOT, &self.root);
         write(headers, header::IMPORTANCE, &self.importance);
-        write(headers, header::TIMEOUT_MS, &self.left().as_millis());
+        write_unique(headers, header::TIMEOUT_MS, &self.left().as_millis());
         write(headers, header::MAX_WAIT_MS, &self.max_wait.as_millis());
         write(headers, header::ORIGIN, &self.origin);
         write(headers, header::INSTANCE, instance);
--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -11,7 +11,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    protocol::{call::write, header},
+    protocol::{
+        call::{mark_unique, write, write_unique},
+        header,
+    },
     state::{counters::Counter, id::ClassName},
 };
 
@@ -79,7 +82,11 @@
     fn peer_response(&self, class: Option<&ClassName>, reply: Reply) -> Response<Body> {
         let mut response = reply.into_response();
         let headers = response.headers_mut();
-        write(headers, header::LOAD, &self.0.gate.load());
+        let names = &self.0.names;
+        for name in [&names.attempt_id, &names.seal, &names.load] {
+            mark_unique(headers, name);
+        }
+        write_unique(headers, header::LOAD, &self.0.gate.load());
         write(headers, header::LEVELS, &self.0.levels(class));
         self.0.write_progress(headers);
         if self.0.retiring.get() {
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -16,7 +16,7 @@
         router::Router,
     },
     protocol::{
-        call::{read, write},
+        call::{read, write_unique},
         directory::HeaderNames,
         header,
     },
@@ -261,7 +261,7 @@
 
     /// Writes the latest store revision read, for another node.
     pub fn write_progress(&self, headers: &mut HeaderMap) {
-        write(headers, header::REVISION, &self.progress.borrow().latest());
+        write_unique(headers, header::REVISION, &self.progress.borrow().latest());
     }
 
     /// The ID of a backend server, by its name in the router.
