Stop probing the backend server when the node stops

Cause: the crash detection waited for its probe and the pause before the next one. Change: both end with the stop signal.

--- a/src/transport/health.rs
+++ b/src/transport/health.rs
@@ -132,7 +132,10 @@
 
 async fn check_server<W: Watched>(node: &W, stop: &CancellationToken) {
     let (health, pool) = (node.health(), node.pool());
-    let accepts = pool.probe(Duration::from_millis(PROBE_TIMEOUT_MS)).await;
+    let probe = || pool.probe(Duration::from_millis(PROBE_TIMEOUT_MS));
+    let Some(accepts) = stop.run_until_cancelled(probe()).await else {
+        return;
+    };
     // Single responses can fail without a crash; a crash fails most of the calls in flight at once.
     let failures = pool.recent_failures();
     let is_most = failures * 2 >= node.gate().load().in_flight as usize;
@@ -143,11 +146,16 @@
     health.down.set(!accepts);
     health.release_permits();
     node.record_crash(&suspects, accepts);
-    while !accepts && !stop.is_cancelled() {
-        sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
-        if pool.probe(Duration::from_millis(PROBE_TIMEOUT_MS)).await {
-            break;
+    let recovered = async {
+        while !accepts {
+            sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
+            if probe().await {
+                break;
+            }
         }
+    };
+    if stop.run_until_cancelled(recovered).await.is_none() {
+        return;
     }
     health.down.set(false);
     node.gate().server_restarted();
