Count calls that time out in the longest duration of their class

Cause: the bound on the duration of a class counted answered calls only. Its windows moved on only when a call ended, so the bound of an idle class never expired.

--- a/src/coordination/gate/classes.rs
+++ b/src/coordination/gate/classes.rs
@@ -50,19 +50,29 @@
     }
 
     fn record(&mut self, duration: Duration, now: Instant) {
-        if now.saturating_duration_since(self.since) >= LONGEST_WINDOW {
-            self.previous = self.current;
+        let age = now.saturating_duration_since(self.since);
+        if age >= LONGEST_WINDOW {
+            let is_adjacent = age < 2 * LONGEST_WINDOW;
+            self.previous = if is_adjacent {
+                self.current
+            } else {
+                (Duration::ZERO, 0)
+            };
             (self.current, self.since) = ((Duration::ZERO, 0), now);
         }
         let (longest, count) = self.current;
         self.current = (longest.max(duration), count.saturating_add(1));
     }
 
-    /// Upper bound on the duration of a new call.
-    fn bound(&self) -> Duration {
+    /// Upper bound on the duration of a new call; `None` if no call has ended recently.
+    fn bound(&self, now: Instant) -> Option<Duration> {
+        if now.saturating_duration_since(self.since) >= 2 * LONGEST_WINDOW {
+            return None;
+        }
         let longest = self.current.0.max(self.previous.0);
         let count = self.current.1.saturating_add(self.previous.1);
-        longest.mul_f64(1.0 + LONGEST_MARGIN + SAMPLE_MARGIN / f64::from(count.max(1)))
+        let margin = LONGEST_MARGIN + SAMPLE_MARGIN / f64::from(count.max(1));
+        Some(longest.mul_f64(1.0 + margin))
     }
 }
 
@@ -111,7 +121,7 @@
         }
     }
 
-    /// Updates the longest duration from a call that was answered.
+    /// Updates the longest duration from a call that was answered, or cancelled after this time.
     pub(super) fn record_longest(&mut self, class: &ClassName, duration: Duration, now: Instant) {
         let Some(class) = self.classes.get_mut(class) else {
             return;
@@ -121,9 +131,9 @@
     }
 
     /// Upper bound on the duration of a call of the class, from recent ones; `None` if unknown.
-    pub(super) fn max_duration(&self, class: &ClassName) -> Option<Duration> {
+    pub(super) fn max_duration(&self, class: &ClassName, now: Instant) -> Option<Duration> {
         let longest = self.classes.get(class)?.longest.as_ref()?;
-        Some(longest.bound())
+        longest.bound(now)
     }
 
     /// Updates the expected duration from a call that was answered.
--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -234,12 +234,14 @@
         self.limiter.record(own_time, in_flight, end, now);
         self.isolation.record_end(id);
         let duration = now.saturating_duration_since(running.started_at);
+        if matches!(end, CallEnd::Answered | CallEnd::Cancelled) {
+            self.classes.record_longest(&running.class, duration, now);
+        }
         match end {
             CallEnd::Answered => {
                 self.controller.record_completion();
                 self.record_duration(duration);
                 self.classes.record_duration(&running.class, duration, now);
-                self.classes.record_longest(&running.class, duration, now);
                 self.isolation.record_completion(running.fingerprint, now);
             }
             CallEnd::Cancelled => self.classes.record_minimum(&running.class, duration, now),
--- a/src/coordination/gate/core/limits.rs
+++ b/src/coordination/gate/core/limits.rs
@@ -72,7 +72,7 @@
         let Some(stop_at) = self.stop_at.filter(|at| deadline > *at) else {
             return true;
         };
-        let max = self.classes.max_duration(class);
+        let max = self.classes.max_duration(class, now);
         max.is_some_and(|max| now + max <= stop_at)
     }
 
