--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -267,15 +267,17 @@
             max_len: self.queue.len(),
             ..QueueStats::default()
         };
+        let mut refused = self.refuse_unfinishable(now);
         if !self.overloaded {
-            return Vec::new();
+            return refused;
         }
         let target = self.target_wait();
         let is_late = |c: &QueuedCall| {
             !c.request.important && !c.request.begun && now >= c.queued_at + target
         };
         let late = self.queue.extract_if(is_late);
-        self.refuse_calls(late, RefusalReason::QueueTimeout, now)
+        refused.extend(self.refuse_calls(late, RefusalReason::QueueTimeout, now));
+        refused
     }
 
     pub(super) fn set_state(&mut self, state: GateState, now: Instant) -> Refusals {
--- a/src/coordination/gate/core/refuse.rs
+++ b/src/coordination/gate/core/refuse.rs
@@ -56,6 +56,21 @@
         refused.collect()
     }
 
+    /// Refuses the queued calls that can't end any more before the process stops.
+    pub(super) fn refuse_unfinishable(&mut self, now: Instant) -> Refusals {
+        let Some(stop_at) = self.stop_at else {
+            return Vec::new();
+        };
+        let classes = &self.classes;
+        let is_late = |c: &QueuedCall| {
+            let max = classes.max_duration(&c.request.class, now);
+            c.request.deadline > stop_at && max.is_none_or(|max| now + max > stop_at)
+        };
+        let mut late = self.queue.extract_if(is_late);
+        late.extend(self.suspect_queue.extract_if(is_late));
+        self.refuse_calls(late, RefusalReason::Stopping, now)
+    }
+
     pub(super) fn refuse_all_queued(&mut self, why: RefusalReason, now: Instant) -> Refusals {
         let mut calls = self.queue.extract_if(|_| true);
         calls.extend(self.suspect_queue.extract_if(|_| true));
