Tell callers refused by a stopping node when it is back

Cause: the refusals had no delay of their own. The wait for a restarting node cleared the set of servers tried, and looked at the reply before the last one. Change: Retry-After is the time to the end of the grace period and a restart. A node that has refused a request because it stops is not asked again for it, and the wait looks at the last reply.

--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -94,7 +94,7 @@
             .router
             .pick(&summary.service, context.priority(), &state.tried)
         else {
-            if state.may_wait(context, wait_until) {
+            if state.last.as_ref().is_none_or(is_outage) && state.may_wait(context, wait_until) {
                 sleep(Duration::from_millis(OUTAGE_RETRY_MS)).await;
                 continue;
             }
@@ -110,11 +110,17 @@
         if reply.why.as_deref() == Some(OTHER_INSTANCE) {
             mesh.remove_replaced(&name);
         }
+        if is_stopping(&reply) {
+            state.stopping.insert(name.clone());
+        }
         state.tried.insert(name);
         match state.next_step(mesh, route, &summary.service, context, reply) {
             NextStep::Return(reply) => return *reply,
             NextStep::RetryLater(reply) if !state.may_wait(context, wait_until) => return *reply,
-            NextStep::RetryLater(_) => sleep(Duration::from_millis(OUTAGE_RETRY_MS)).await,
+            NextStep::RetryLater(reply) => {
+                state.last = Some(*reply);
+                sleep(Duration::from_millis(OUTAGE_RETRY_MS)).await;
+            }
             NextStep::Retry => {
                 if let Some(reply) = &state.last {
                     trace::retried(mesh, context, &summary.last, reply);
@@ -138,6 +144,8 @@
 #[derive(Default)]
 struct AttemptState {
     tried: BTreeSet<UpstreamName>,
+    // Servers whose nodes stop before the request would end.
+    stopping: BTreeSet<UpstreamName>,
     // Attempts that reached a backend server.
     arrivals: u32,
     refusals: u32,
@@ -178,7 +186,7 @@
             };
         if !retry {
             let reply = Box::new(self.with_earlier_attempts(reply));
-            return match reply.unanswered || is_unavailable(&reply) {
+            return match is_outage(&reply) {
                 true => NextStep::RetryLater(reply),
                 false => NextStep::Return(reply),
             };
@@ -188,16 +196,13 @@
         NextStep::Retry
     }
 
-    /// Whether the request may wait for a node that is restarting; if so, clears the set of servers
-    /// tried.
+    /// Whether the request may wait for a node that is restarting; if so, the servers tried may be
+    /// tried again, except those whose nodes are stopping.
     fn may_wait(&mut self, context: &RequestContext, wait_until: Instant) -> bool {
-        let is_unavailable = |reply: &Reply| reply.unanswered || is_unavailable(reply);
         let pause = Duration::from_millis(OUTAGE_RETRY_MS);
-        let may_wait = self.last.as_ref().is_none_or(is_unavailable)
-            && Instant::now() + pause < wait_until
-            && context.left() > pause;
+        let may_wait = Instant::now() + pause < wait_until && context.left() > pause;
         if may_wait {
-            self.tried.clear();
+            self.tried.clone_from(&self.stopping);
             self.unreachable = 0;
         }
         may_wait
@@ -205,7 +210,7 @@
 
     /// Counts a refusal, and returns whether another node may be tried.
     fn may_try_another(&mut self, reply: &Reply) -> bool {
-        if reply.unanswered || is_unavailable(reply) {
+        if is_outage(reply) {
             self.unreachable += 1;
             return self.unreachable < UNREACHABLE_MAX;
         }
@@ -232,6 +237,11 @@
     }
 }
 
+/// Whether no server could take the request for a reason that a restart ends.
+fn is_outage(reply: &Reply) -> bool {
+    reply.unanswered || is_unavailable(reply)
+}
+
 /// Whether the node that refused a request is leaving or stopping, or its backend server is down.
 fn is_unavailable(reply: &Reply) -> bool {
     reply.leaving
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -149,7 +149,8 @@
         if !context.begun && mesh.refusing_callers.get() {
             mesh.counters.add(Counter::RefusedLeaving, 1);
             trace::refused_stopping(mesh, &context);
-            return Reply::not_run(0, reason_text(RefusalReason::Leaving), Duration::ZERO);
+            let why = reason_text(RefusalReason::Leaving);
+            return Reply::not_run(0, why, mesh.time_to_restart());
         }
         if !context.begun
             && let Some(excluded) = mesh.excluded_by(&route.class, context.priority())
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -73,7 +73,11 @@
             mesh.counters.add(reason_counter(refusal.why), 1);
             let load = mesh.gate.load();
             trace::not_admitted(mesh, context, refusal.why, load, started.elapsed());
-            return Reply::refused(&refusal, 0);
+            let reply = Reply::refused(&refusal, 0);
+            return match refusal.why {
+                RefusalReason::Stopping => reply.with_retry_after(mesh.time_to_restart()),
+                _ => reply,
+            };
         }
     };
     for _ in 0..CONNECTIONS_MAX {
@@ -115,7 +119,7 @@
 fn refused<N: Net, D>(mesh: &Mesh<N, D>, context: &RequestContext, why: RefusalReason) -> Reply {
     mesh.counters.add(reason_counter(why), 1);
     trace::not_admitted(mesh, context, why, mesh.gate.load(), Duration::ZERO);
-    Reply::not_run(0, reason_text(why), Duration::ZERO)
+    Reply::not_run(0, reason_text(why), mesh.time_to_restart())
 }
 
 /// Result of sending a request on one connection.
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -67,6 +67,8 @@
 /// is small, because one retry there repeats several calls.
 const CALLING_SLACK_SHARE: f64 = 0.05;
 const LEAF_SLACK_SHARE: f64 = 0.4;
+/// Time that a node takes to start anew.
+const RESTART_MS: u64 = 500;
 /// Time for which a node that is leaving, or whose backend server is down, gets no requests.
 const COOLDOWN_MS: u64 = 500;
 
@@ -104,6 +106,12 @@
     pub retiring: Cell<bool>,
     /// Whether requests from callers are refused, and connections closed after the next response.
     pub refusing_callers: Cell<bool>,
+    /// End of the grace period, once the node is about to stop.
+    pub stop_end: Cell<Option<Instant>>,
+    /// Whether the node admits nothing any more, whatever its backend server does.
+    pub closing: Cell<bool>,
+    /// Time at which the last periodic work was due; it is long ago if the process was paused.
+    pub tick_due: Cell<Instant>,
     /// End of the grace period, set when the requests still in progress are cancelled.
     pub grace_end: Cell<Option<Instant>>,
     /// Number of requests in progress that were received from this instance.
@@ -158,6 +166,9 @@
             behind_notify: Notify::new(),
             retiring: Cell::new(false),
             refusing_callers: Cell::new(false),
+            stop_end: Cell::new(None),
+            closing: Cell::new(false),
+            tick_due: Cell::new(Instant::now()),
             grace_end: Cell::new(None),
             local_requests: Cell::new(0),
             counters,
@@ -184,6 +195,15 @@
         self.routes.borrow().is_some() && self.listed.get() && !self.retiring.get()
     }
 
+    /// Time after which requests that the stopping node refuses can be served again; zero if it does
+    /// not stop.
+    pub fn time_to_restart(&self) -> Duration {
+        let Some(end) = self.stop_end.get() else {
+            return Duration::ZERO;
+        };
+        end.saturating_duration_since(Instant::now()) + Duration::from_millis(RESTART_MS)
+    }
+
     /// Selects the service for the next request of a route.
     pub fn pick_service(&self, route: &Route) -> ServiceName {
         let at = match route.services.len() {
--- a/src/transport/reply.rs
+++ b/src/transport/reply.rs
@@ -179,6 +179,14 @@
         }
     }
 
+    /// Sets the delay after which the caller may retry.
+    pub fn with_retry_after(self, delay: Duration) -> Self {
+        Self {
+            retry_after: Some(delay),
+            ..self
+        }
+    }
+
     /// Replaces the status.
     pub fn with_status(mut self, status: StatusCode) -> Self {
         self.status = status;
