End a stop in time, and as soon as nothing is in progress

Cause: the end of the HTTP/2 connections waits for the other node's confirmation. The grace period was counted from the moment at which the process noticed the signal. The state of the gate was frozen when the stop began. The time left for the exit was a share of the grace period. Change: connections of other nodes are closed 0.2 s after the last answer; the grace period counts from when the last periodic work was due; the gate follows the server until it closes; requests are cancelled 0.4 s before the end of the grace period, and admitted ones have ended 0.2 s earlier.

--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -42,12 +42,16 @@
 const READY_NOTICE_MS: u64 = 2_300;
 /// Upper bound on that time, as a share of the grace period.
 const READY_NOTICE_SHARE: f64 = 0.4;
-/// Share of the grace period after which requests still in progress are cancelled; the rest is left
-/// for the process to exit on a busy instance.
-const CANCEL_SHARE: f64 = 0.95;
-/// Share of the grace period by which admitted requests must have ended: only requests that are sure
-/// to end before are admitted. The time from then to [`CANCEL_SHARE`] is left for their answers.
-const FINISH_SHARE: f64 = 0.9;
+/// Time before the end of the grace period at which requests still in progress are cancelled; it is
+/// left for the process to exit on a busy instance.
+const EXIT_MS: u64 = 400;
+/// Time before the cancellation by which admitted requests must have ended, left for their answers.
+const ANSWER_MS: u64 = 200;
+/// Upper bound on each of these times, as a share of the grace period.
+const EXIT_SHARE: f64 = 0.1;
+/// Time for which the connections of other nodes stay open after the last answer. One that is paused
+/// or cut off does not confirm that it will send no more.
+const LINGER_MS: u64 = 200;
 /// Interval of the checks whether requests are in progress.
 const IDLE_CHECK_MS: u64 = 20;
 /// Time for which requests stay queued after the backend server has begun to drain; they are then
@@ -153,31 +157,55 @@
         self.stop.drain.cancel();
         if timeout_at(cancel_at, self.tasks.join()).await.is_err() {
             mesh.grace_end.set(Some(grace_end));
-            self.stop.abort.cancel();
-            self.tasks.join().await;
+            self.abort().await;
         }
     }
+
+    /// Closes all connections and waits until their tasks have ended.
+    async fn abort(&self) {
+        self.stop.abort.cancel();
+        self.tasks.join().await;
+    }
 }
 
 /// Stops the node without interrupting requests.
 ///
 /// First the node reports that it is not ready, so that callers go elsewhere. Other nodes avoid it
 /// once a response reports that it is retiring, but no other node can reach the backend server, so
-/// their requests are served as long as they are sure to end before the process does. The outbound listener closes last, because the
-/// backend server's own calls also arrive there.
+/// their requests are served as long as they are sure to end before the process does. The outbound
+/// listener closes last, because the backend server's own calls also arrive there.
 async fn drain<N: Net, D>(mesh: &Mesh<N, D>, callers: &ListenerTasks, peers: &ListenerTasks) {
-    let (started, grace) = (Instant::now(), mesh.settings.bounds.grace);
-    let cancel_at = started + grace.mul_f64(CANCEL_SHARE);
-    let finish_at = started + grace.mul_f64(FINISH_SHARE);
+    // The signal may have arrived while the process was paused.
+    let tick_due = mesh.tick_due.get() + Duration::from_millis(TICK_MS);
+    let (started, grace) = (Instant::now().min(tick_due), mesh.settings.bounds.grace);
+    let grace_end = started + grace;
+    let max = grace.mul_f64(EXIT_SHARE);
+    let cancel_at = grace_end - Duration::from_millis(EXIT_MS).min(max);
+    let finish_at = cancel_at - Duration::from_millis(ANSWER_MS).min(max);
     mesh.retiring.set(true);
+    mesh.stop_end.set(Some(grace_end));
     mesh.gate.set_stop(finish_at);
     let notice = Duration::from_millis(READY_NOTICE_MS);
-    sleep(notice.min(grace.mul_f64(READY_NOTICE_SHARE))).await;
+    sleep_until(started + notice.min(grace.mul_f64(READY_NOTICE_SHARE))).await;
     mesh.refusing_callers.set(true);
     wait_idle(mesh, finish_at).await;
+    mesh.closing.set(true);
     mesh.gate.set_state(GateState::Leaving);
-    peers.end(mesh, cancel_at, started + grace).await;
-    callers.end(mesh, cancel_at, started + grace).await;
+    mesh.gate.refuse_queued();
+    tokio::select! {
+        biased;
+        () = peers.end(mesh, cancel_at, grace_end) => {}
+        () = linger(mesh) => peers.abort().await,
+    }
+    callers.end(mesh, cancel_at, grace_end).await;
+}
+
+/// Waits until some time after the last answer of the backend server to another node.
+async fn linger<N: Net, D>(mesh: &Mesh<N, D>) {
+    while mesh.gate.load().in_flight > 0 {
+        sleep(Duration::from_millis(IDLE_CHECK_MS)).await;
+    }
+    sleep(Duration::from_millis(LINGER_MS)).await;
 }
 
 /// Waits until neither callers nor other nodes have requests in progress, at most until `deadline`.
@@ -206,6 +234,7 @@
             () = stop.cancelled() => return,
             due = ticks.tick() => due,
         };
+        mesh.tick_due.set(due);
         let now = Instant::now();
         let expired = mesh.registry.borrow_mut().expire(now);
         for record in &expired {
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -254,7 +254,7 @@
         if *self.own_id.borrow() != id {
             *self.own_id.borrow_mut() = id;
         }
-        if !self.retiring.get() {
+        if !self.closing.get() {
             let state = if leaving || own.is_draining() {
                 GateState::Leaving
             } else {
