Combine reported levels once, not again at each node

Cause: a node takes the highest level that it heard in the last 100 to 200 ms. That is meant for the upstreams of one service, but it was also done with levels that other nodes had combined and passed on, so a lower level was held back at each of three nodes on its way to the callers' nodes.

Change: only the level of the answering node's own service is combined; a level that is passed on replaces the earlier one.

The new test lower_level_passes_several_nodes_without_a_delay was not run on the code before, which has another signature.

--- a/src/state/mesh/downstream.rs
+++ b/src/state/mesh/downstream.rs
@@ -36,16 +36,21 @@
 }
 
 impl DownstreamLevels {
-    /// Records the levels reported in an answer to a request of a class.
-    pub fn update(&mut self, class: &ClassName, levels: &Levels, now: Instant) {
+    /// Records the levels reported in an answer by a node of service `from` to a request of a
+    /// class.
+    ///
+    /// The node's own level is that of one of several upstreams, so the reports of all of them are
+    /// combined. Levels that it passes on have been combined already. Combining them again would
+    /// delay a lower level at each node on its way.
+    pub fn update(&mut self, class: &ClassName, from: &ServiceName, levels: &Levels, now: Instant) {
         if self.classes.len() >= CLASSES_MAX && !self.classes.contains_key(class) {
             return;
         }
         let known = self.classes.entry(class.clone()).or_default();
         for (service, level) in &levels.0 {
             match known.get_mut(service) {
-                Some(known) => known.update(*level, now),
-                None => {
+                Some(known) if service == from => known.update(*level, now),
+                _ => {
                     known.insert(service.clone(), ReportedLevel::new(*level, now));
                 }
             }
@@ -67,7 +72,7 @@
     /// use tokio::time::Instant;
     /// let (mut levels, now) = (DownstreamLevels::default(), Instant::now());
     /// let class = "order".parse()?;
-    /// levels.update(&class, &"deep=16777216".parse()?, now);
+    /// levels.update(&class, &"deep".parse()?, &"deep=16777216".parse()?, now);
     /// let priority = |importance| Priority::new(importance, false, RootId([1; 16]));
     /// assert_eq!(levels.excluded_by(&class, priority(0), now), None);
     /// let found = levels.excluded_by(&class, priority(2), now).expect("a level below it");
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -276,7 +276,7 @@
     if pick.upstream().public == mesh.settings.server {
         let reply = serve(mesh, context, &instance).await;
         let levels = mesh.levels(Some(&context.class));
-        mesh.record_levels(&context.class, parent, &levels);
+        mesh.record_levels(&context.class, parent, &mesh.settings.service, &levels);
         let ended = reply.attempt_end();
         pick.finish(ended);
         return reply;
@@ -398,7 +398,7 @@
     let levels = levels.unwrap_or_default();
     let Upstream { name, service, .. } = pick.upstream();
     let level = levels.0.get(service).copied().unwrap_or(Level::OPEN);
-    mesh.record_levels(class, parent, &levels);
+    mesh.record_levels(class, parent, service, &levels);
     let load: Option<Load> = read(headers, header::LOAD).ok().flatten();
     if let Some(load) = load {
         mesh.router.update_load(name, load, level);
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -346,14 +346,23 @@
         levels
     }
 
-    /// Records the levels reported on a response to a request of `class`.
+    /// Records the levels reported on a response of a node of service `from` to a request of
+    /// `class`.
     ///
     /// `parent` is the class of the request on whose behalf it was made, if any.
-    pub fn record_levels(&self, class: &ClassName, parent: Option<&ClassName>, levels: &Levels) {
+    pub fn record_levels(
+        &self,
+        class: &ClassName,
+        parent: Option<&ClassName>,
+        from: &ServiceName,
+        levels: &Levels,
+    ) {
         let now = Instant::now();
-        self.local_levels.borrow_mut().update(class, levels, now);
+        let mut local_levels = self.local_levels.borrow_mut();
+        local_levels.update(class, from, levels, now);
         if let Some(parent) = parent {
-            self.call_levels.borrow_mut().update(parent, levels, now);
+            let mut call_levels = self.call_levels.borrow_mut();
+            call_levels.update(parent, from, levels, now);
         }
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -297,14 +297,17 @@
     let (mut entered, mut below): ([DownstreamLevels; 2], [DownstreamLevels; 2]) =
         Default::default();
     let priority = Priority::new(1, false, RootId([1; 16]));
-    below[0].update(&class, &deep_level(Level::OPEN), Instant::now());
+    let (deep, order): (ServiceName, ServiceName) =
+        ("deep".parse().unwrap(), "order".parse().unwrap());
+    below[0].update(&class, &deep, &deep_level(Level::OPEN), Instant::now());
     for n in 0..200 {
         let now = Instant::now();
         if n >= 10 {
-            below[0].update(&class, &deep_level(Level(5)), now);
+            below[0].update(&class, &deep, &deep_level(Level(5)), now);
         }
         for (from, to) in [(0, 1), (1, 0)] {
-            entered[from].update(&class, &below[to].recent(&class, now), now);
+            let passed_on = below[to].recent(&class, now);
+            entered[from].update(&class, &order, &passed_on, now);
         }
         tokio::time::advance(ms(10)).await;
     }
@@ -318,7 +321,8 @@
 async fn old_levels_are_not_passed_on() {
     let class = "order".parse().unwrap();
     let mut reach = DownstreamLevels::default();
-    reach.update(&class, &deep_level(Level(5)), Instant::now());
+    let deep = "deep".parse().unwrap();
+    reach.update(&class, &deep, &deep_level(Level(5)), Instant::now());
     assert_eq!(reach.recent(&class, Instant::now()), deep_level(Level(5)));
     tokio::time::advance(ms(600)).await;
     assert_eq!(reach.recent(&class, Instant::now()), Levels::default());
@@ -377,3 +381,27 @@
         "{large} reads per second with 26,000 nodes"
     );
 }
+
+/// Guards against a lower level that each node on its way to the callers' nodes holds back, so that
+/// requests are admitted for several hundred ms although the service below is full.
+#[tokio::test(start_paused = true)]
+async fn lower_level_passes_several_nodes_without_a_delay() {
+    let class = "order".parse().unwrap();
+    let service = |n: usize| -> ServiceName { format!("s{n}").parse().unwrap() };
+    let mut nodes: [DownstreamLevels; 4] = Default::default();
+    let deep: ServiceName = "deep".parse().unwrap();
+    for n in 0..50 {
+        let now = Instant::now();
+        let level = if n < 25 { Level::OPEN } else { Level(5) };
+        nodes[0].update(&class, &deep, &deep_level(level), now);
+        for at in 1..nodes.len() {
+            let passed_on = nodes[at - 1].recent(&class, now);
+            nodes[at].update(&class, &service(at), &passed_on, now);
+        }
+        tokio::time::advance(ms(10)).await;
+    }
+    // The node beside the service combines the reports of 100 to 200 ms; the others add nothing.
+    let now = Instant::now();
+    assert_eq!(nodes[3].recent(&class, now), nodes[0].recent(&class, now));
+    assert_eq!(nodes[3].recent(&class, now), deep_level(Level(5)));
+}
