Count a caller's request as in progress until its answer is sent

Cause: a request counted as in progress until the head of its answer, so the node took itself for idle. Change: the body of the answer keeps the request in progress.

--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -9,6 +9,7 @@
 mod context;
 mod follow;
 mod inbound;
+mod local;
 mod metrics;
 pub mod node;
 mod outbound;
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -36,7 +36,8 @@
     },
     attempt,
     context::RequestContext,
-    shared::{LocalRequestGuard, Mesh},
+    local::{LocalBody, LocalRequestGuard},
+    shared::Mesh,
     trace,
 };
 
@@ -62,7 +63,7 @@
 pub struct Outbound<N: Net, D>(pub Rc<Mesh<N, D>>);
 
 impl<N: Net, D: 'static> Handler for Outbound<N, D> {
-    type Body = Body;
+    type Body = LocalBody;
 
     fn accepts(&self, _from: IpAddr) -> bool {
         true
@@ -78,10 +79,10 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         _from: SocketAddr,
-    ) -> Response<Body> {
+    ) -> Response<LocalBody> {
         let mesh = &self.0;
         let arrived = Instant::now();
-        let _in_progress = LocalRequestGuard::start(&mesh.local_requests);
+        let in_progress = LocalRequestGuard::start(&mesh.local_requests);
         let (head, body) = request.into_parts();
         let left = time_left(&head.headers, &mesh.names.time_left);
         let reply = self.call(head, body, arrived, left).await;
@@ -93,7 +94,7 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        response
+        response.map(|body| LocalBody::new(body, in_progress))
     }
 }
 
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -115,7 +115,7 @@
     /// End of the grace period, set when the requests still in progress are cancelled.
     pub grace_end: Cell<Option<Instant>>,
     /// Number of requests in progress that were received from this instance.
-    pub local_requests: Cell<usize>,
+    pub local_requests: Rc<Cell<usize>>,
     /// Counters and gauges.
     pub counters: Rc<Counters>,
     /// Latency histograms.
@@ -170,7 +170,7 @@
             closing: Cell::new(false),
             tick_due: Cell::new(Instant::now()),
             grace_end: Cell::new(None),
-            local_requests: Cell::new(0),
+            local_requests: Rc::default(),
             counters,
             latency: Latency::default(),
             buffered: Rc::default(),
@@ -399,23 +399,6 @@
 /// Connections allowed beyond the number of slots, because closing ones still count.
 const SPARE_CONNECTIONS: u32 = 16;
 
-/// Counts a request from this instance while it is in progress.
-pub struct LocalRequestGuard<'a>(&'a Cell<usize>);
-
-impl<'a> LocalRequestGuard<'a> {
-    /// Increments the count until the guard is dropped.
-    pub fn start(count: &'a Cell<usize>) -> Self {
-        count.update(|n| n + 1);
-        Self(count)
-    }
-}
-
-impl Drop for LocalRequestGuard<'_> {
-    fn drop(&mut self) {
-        self.0.update(|n| n - 1);
-    }
-}
-
 impl<N: Net, D> Watched for Mesh<N, D> {
     type Net = N;
 
