Do not count a cancelled call as a sample of the duration of its class

Seen: call_that_may_outlast_the_process_is_refused failed after cancelled calls had been counted: each made the margin on the longest duration smaller, though it ran for no time at all. Cause: the number of calls, on which the margin depends, included cancelled ones. Change: only answered calls count; a cancelled one can only raise the longest duration.

--- a/src/coordination/gate/classes.rs
+++ b/src/coordination/gate/classes.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::state::{id::ClassName, object::Limit};
+use crate::state::{id::ClassName, limit::CallEnd, object::Limit};
 
 /// Maximum number of classes whose duration is estimated. Calls of further classes are admitted
 /// without an estimate.
@@ -49,7 +49,7 @@
         }
     }
 
-    fn record(&mut self, duration: Duration, now: Instant) {
+    fn record(&mut self, duration: Duration, is_answered: bool, now: Instant) {
         let age = now.saturating_duration_since(self.since);
         if age >= LONGEST_WINDOW {
             let is_adjacent = age < 2 * LONGEST_WINDOW;
@@ -61,17 +61,21 @@
             (self.current, self.since) = ((Duration::ZERO, 0), now);
         }
         let (longest, count) = self.current;
-        self.current = (longest.max(duration), count.saturating_add(1));
+        let count = count.saturating_add(is_answered.into());
+        self.current = (longest.max(duration), count);
     }
 
-    /// Upper bound on the duration of a new call; `None` if no call has ended recently.
+    /// Upper bound on the duration of a new call; `None` if none was answered recently.
     fn bound(&self, now: Instant) -> Option<Duration> {
         if now.saturating_duration_since(self.since) >= 2 * LONGEST_WINDOW {
             return None;
         }
         let longest = self.current.0.max(self.previous.0);
         let count = self.current.1.saturating_add(self.previous.1);
-        let margin = LONGEST_MARGIN + SAMPLE_MARGIN / f64::from(count.max(1));
+        if count == 0 {
+            return None;
+        }
+        let margin = LONGEST_MARGIN + SAMPLE_MARGIN / f64::from(count);
         Some(longest.mul_f64(1.0 + margin))
     }
 }
@@ -121,13 +125,25 @@
         }
     }
 
-    /// Updates the longest duration from a call that was answered, or cancelled after this time.
-    pub(super) fn record_longest(&mut self, class: &ClassName, duration: Duration, now: Instant) {
+    /// Updates the longest duration from a call that has ended. A cancelled call would have taken
+    /// longer, so it does not count as a sample.
+    pub(super) fn record_longest(
+        &mut self,
+        class: &ClassName,
+        duration: Duration,
+        end: CallEnd,
+        now: Instant,
+    ) {
+        let is_answered = match end {
+            CallEnd::Answered => true,
+            CallEnd::Cancelled => false,
+            CallEnd::Shed | CallEnd::Lost => return,
+        };
         let Some(class) = self.classes.get_mut(class) else {
             return;
         };
         let longest = class.longest.get_or_insert_with(|| Longest::new(now));
-        longest.record(duration, now);
+        longest.record(duration, is_answered, now);
     }
 
     /// Upper bound on the duration of a call of the class, from recent ones; `None` if unknown.
--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -237,9 +237,8 @@
         self.limiter.record(own_time, in_flight, end, now);
         self.isolation.record_end(id);
         let duration = now.saturating_duration_since(running.started_at);
-        if matches!(end, CallEnd::Answered | CallEnd::Cancelled) {
-            self.classes.record_longest(&running.class, duration, now);
-        }
+        self.classes
+            .record_longest(&running.class, duration, end, now);
         match end {
             CallEnd::Answered => {
                 self.controller.record_completion();
