--- a/src/transport/health.rs
+++ b/src/transport/health.rs
@@ -147,14 +147,14 @@
     health.release_permits();
     node.record_crash(&suspects, accepts);
     let recovered = async {
-        while !accepts {
+        loop {
             sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
             if probe().await {
                 break;
             }
         }
     };
-    if stop.run_until_cancelled(recovered).await.is_none() {
+    if !accepts && stop.run_until_cancelled(recovered).await.is_none() {
         return;
     }
     health.down.set(false);
