Accept no answer without the attempt ID of its request

Cause: a response without an ID was accepted as the first one on its connection, where no earlier response can be confused with it; but a faulty server also writes such bytes before its first answer. Change: the ID is required whenever the request has one; servers echo it.

--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -335,10 +335,10 @@
             return Some("response has the attempt ID of another request");
         }
         let not_run = self.is_not_run(head);
-        // Servers echo the ID. Without it, an earlier response that was sent twice would be taken
-        // for this one.
+        // Servers echo the ID. Without it, bytes that belong to no request would be taken for the
+        // response.
         let needs_id = match sent_id {
-            Some(_) => not_run || !is_first,
+            Some(_) => true,
             None => not_run && !is_first,
         };
         if returned_id.is_none() && needs_id {
