Give the retry budget to the requests that it can complete

The budget for retries was spent by whichever call asked first, so nearly every root failed at one of its calls; and only 0.35 of the ratio was ever used, as a guard against the calls of repeated requests, which nobody counted.

--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -47,6 +47,8 @@
 /// Present when the call belongs to a request that is already in progress, not to a new one from
 /// outside.
 pub const BEGUN: &str = "cb-begun";
+/// Present when the request, or one on whose behalf it is made, has been sent before.
+pub const REPEATED: &str = "cb-repeated";
 /// Present when the request may run more than once.
 pub const IDEMPOTENT: &str = "cb-idempotent";
 /// Ticket for a non-repeatable request.
--- a/src/state/mesh/calls.rs
+++ b/src/state/mesh/calls.rs
@@ -16,6 +16,8 @@
     pub importance: u8,
     /// Class of the request.
     pub class: ClassName,
+    /// Whether the request, or one that it belongs to, was sent before.
+    pub repeated: bool,
 }
 
 /// Requests in progress at the backend server, by id.
@@ -40,7 +42,8 @@
     ///
     /// ```
     /// use comfreybay::state::{id::RootId, mesh::calls::{RunningRequests, Parent}};
-    /// let parent = Parent { root: RootId([1; 16]), importance: 0, class: "order".parse()? };
+    /// let class = "order".parse()?;
+    /// let parent = Parent { root: RootId([1; 16]), importance: 0, class, repeated: false };
     /// let mut requests = RunningRequests::default();
     /// requests.started("a", parent.clone());
     /// assert_eq!(requests.parent("a.b", '.'), Some(&parent));
--- a/src/state/mesh/route.rs
+++ b/src/state/mesh/route.rs
@@ -81,6 +81,7 @@
     hosts: BTreeMap<String, BTreeMap<String, Rc<Route>>>,
     services: BTreeMap<ServiceName, Service>,
     bounds: Bounds,
+    most_important: Option<u8>,
 }
 
 impl RouteTable {
@@ -94,6 +95,7 @@
         services: BTreeMap<ServiceName, Service>,
         bounds: Bounds,
     ) -> Result<Self> {
+        let most_important = routes.iter().map(|route| route.importance).min();
         let mut hosts: BTreeMap<String, BTreeMap<String, Rc<Route>>> = BTreeMap::new();
         for route in routes {
             check(&route, &services)?;
@@ -109,6 +111,7 @@
             hosts,
             services,
             bounds,
+            most_important,
         })
     }
 
@@ -132,6 +135,11 @@
         self.hosts.values().flat_map(BTreeMap::values)
     }
 
+    /// The importance of the most important routes; 0 is the highest. `None` without routes.
+    pub fn most_important(&self) -> Option<u8> {
+        self.most_important
+    }
+
     /// The route of the host with the longest prefix of `path`.
     ///
     /// The port and the letter case of `host` are ignored.
--- a/src/state/priority.rs
+++ b/src/state/priority.rs
@@ -47,6 +47,15 @@
         self.0 & EARLY_RETRY_BIT != 0
     }
 
+    /// Position among the requests of its importance, from 0 for the first to 1. Early retries come
+    /// last.
+    pub fn position(self) -> f64 {
+        match self.is_early_retry() {
+            true => 1.0,
+            false => f64::from(self.0 & (EARLY_RETRY_BIT - 1)) / f64::from(EARLY_RETRY_BIT),
+        }
+    }
+
     /// The priority as a number.
     pub fn value(self) -> u32 {
         self.0
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -62,12 +62,12 @@
 pub async fn run<N: Net, D>(
     mesh: &Mesh<N, D>,
     route: &Route,
-    context: &RequestContext,
+    context: &mut RequestContext,
     parent: Option<&ClassName>,
 ) -> Reply {
     let arrived = Instant::now();
     let service = mesh.pick_service(route);
-    mesh.count_request(&service);
+    mesh.count_request(&service, context.repeated);
     let mut summary = AttemptSummary {
         service: service.clone(),
         last: String::new(),
@@ -83,7 +83,7 @@
 async fn run_attempts<N: Net, D>(
     mesh: &Mesh<N, D>,
     route: &Route,
-    context: &RequestContext,
+    context: &mut RequestContext,
     parent: Option<&ClassName>,
     summary: &mut AttemptSummary,
 ) -> Reply {
@@ -122,6 +122,7 @@
                 sleep(Duration::from_millis(OUTAGE_RETRY_MS)).await;
             }
             NextStep::Retry => {
+                context.repeated |= state.arrivals > 0;
                 if let Some(reply) = &state.last {
                     trace::retried(mesh, context, &summary.last, reply);
                 }
@@ -180,7 +181,8 @@
                 true => {
                     self.arrivals += 1;
                     let calls = !mesh.is_leaf(&route.class, service);
-                    self.arrivals < route.attempts && mesh.try_spend_retry(service, calls)
+                    let priority = context.priority();
+                    self.arrivals < route.attempts && mesh.try_spend_retry(service, calls, priority)
                 }
                 false => self.may_try_another(&reply),
             };
--- a/src/transport/mesh/context.rs
+++ b/src/transport/mesh/context.rs
@@ -33,6 +33,8 @@
     pub importance: u8,
     /// Whether it is a call made on behalf of a request that has begun.
     pub begun: bool,
+    /// Whether it, or a request on whose behalf it is made, has been sent before.
+    pub repeated: bool,
     /// Whether it may run more than once.
     pub idempotent: bool,
     /// When its response is due.
@@ -74,6 +76,9 @@
         if self.begun {
             write(headers, header::BEGUN, &1);
         }
+        if self.repeated {
+            write(headers, header::REPEATED, &1);
+        }
         if self.idempotent {
             write(headers, header::IDEMPOTENT, &1);
         }
@@ -87,6 +92,7 @@
     root: RootId,
     importance: u8,
     begun: bool,
+    repeated: bool,
     idempotent: bool,
     timeout: Duration,
     max_wait: Duration,
@@ -106,6 +112,7 @@
             root: read_required(headers, header::ROOT)?,
             importance: read_required(headers, header::IMPORTANCE)?,
             begun: read::<u8>(headers, header::BEGUN)?.is_some(),
+            repeated: read::<u8>(headers, header::REPEATED)?.is_some(),
             idempotent: read::<u8>(headers, header::IDEMPOTENT)?.is_some(),
             timeout: read_time(headers, header::TIMEOUT_MS)?,
             max_wait: read_time(headers, header::MAX_WAIT_MS)?,
@@ -125,6 +132,7 @@
             root: self.root,
             importance: self.importance,
             begun: self.begun,
+            repeated: self.repeated,
             idempotent: self.idempotent,
             deadline: arrived + self.timeout,
             max_wait: self.max_wait,
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -140,7 +140,7 @@
             .cloned();
         let root = calls::root_id(id, mesh.names.call_separator);
         let deadline = arrived + left.min(route.timeout);
-        let context = self.request_context(&route, request, parent.as_ref(), root, deadline);
+        let mut context = self.request_context(&route, request, parent.as_ref(), root, deadline);
         let counter = if context.begun {
             Counter::EgressCalls
         } else {
@@ -161,7 +161,7 @@
             return Reply::not_run(0, "level-below", Duration::from_millis(EXCLUDED_RETRY_MS));
         }
         let parent = parent.as_ref().map(|parent| &parent.class);
-        attempt::run(mesh, &route, &context, parent).await
+        attempt::run(mesh, &route, &mut context, parent).await
     }
 
     fn request_context(
@@ -181,6 +181,7 @@
             root: parent.map_or(root, |p| p.root),
             importance: parent.map_or(route.importance, |p| p.importance),
             begun: parent.is_some(),
+            repeated: parent.is_some_and(|p| p.repeated),
             idempotent: route.idempotent,
             deadline,
             max_wait: route.target.mul_f64(share),
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -177,6 +177,7 @@
             root: context.root,
             importance: context.importance,
             class: context.class.clone(),
+            repeated: context.repeated,
         };
         let id = context.id(&mesh.names.attempt_id);
         mesh.calls.borrow_mut().started(id, parent);
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -34,7 +34,7 @@
             route::{Route, RouteTable},
             settings::Settings,
             split::WeightedRoundRobin,
-            window::{Budget, RetryWindow},
+            window::{Budget, RetryRank, RetryWindow},
         },
         object::{Control, Favour},
         priority::Priority,
@@ -58,11 +58,12 @@
 /// during the outage are back within 2 s of its end.
 const AFTER_OUTAGE_MS: u64 = 2_200;
 /// Shares of the fleet's retry budget that the retries for one service may use. Retrying a request
-/// that makes calls also repeats these calls at each downstream service: below three services that
-/// make calls, at most 3 x 0.15 + 0.35 = 0.8 of the budget is used at a leaf service. The rest
-/// allows for clocks and windows that differ between nodes.
+/// that makes calls also repeats these calls at each downstream service, where they are counted: a
+/// leaf service below three that make calls gets at most 3 x 0.15 of its budget that way, and its
+/// own retries may fill it up to 0.7. The rest allows for clocks and windows that differ between
+/// nodes.
 const CALLING_RATIO_SHARE: f64 = 0.15;
-const LEAF_RATIO_SHARE: f64 = 0.35;
+const LEAF_RATIO_SHARE: f64 = 0.7;
 /// The same for the constant part of the budget (the slack). The share of services that make calls
 /// is small, because one retry there repeats several calls.
 const CALLING_SLACK_SHARE: f64 = 0.05;
@@ -300,18 +301,19 @@
         }
     }
 
-    /// Counts a request for a service, for the retry budget.
-    pub fn count_request(&self, service: &ServiceName) {
+    /// Counts a request for a service, for the retry budget. `repeated`: whether a request on whose
+    /// behalf it is made was sent before, which makes this one an extra arrival.
+    pub fn count_request(&self, service: &ServiceName, repeated: bool) {
         let budget = self.budget();
         let mut windows = self.retry_windows.borrow_mut();
         let window = windows.entry(service.clone()).or_default();
-        window.request(&budget, Instant::now());
+        window.request(&budget, repeated, Instant::now());
     }
 
     /// Spends one retry at a service, if this node's share of the retry budget allows it.
     ///
     /// `calls`: whether the request makes calls; a retry repeats them at each downstream service.
-    pub fn try_spend_retry(&self, service: &ServiceName, calls: bool) -> bool {
+    pub fn try_spend_retry(&self, service: &ServiceName, calls: bool, priority: Priority) -> bool {
         let mut budget = self.budget();
         let nodes = self.registry.borrow().len().max(1) as f64;
         let (ratio, slack) = match calls {
@@ -320,9 +322,12 @@
         };
         budget.ratio *= ratio;
         budget.slack *= slack;
+        let routes = self.routes.borrow();
+        let most = routes.as_ref().and_then(|table| table.most_important());
+        let rank = RetryRank::new(priority, most.unwrap_or_default());
         let mut windows = self.retry_windows.borrow_mut();
         let window = windows.entry(service.clone()).or_default();
-        let spent = window.try_spend(&budget, 1.0 / nodes, Instant::now());
+        let spent = window.try_spend(&budget, 1.0 / nodes, rank, Instant::now());
         if !spent {
             self.counters.add(Counter::RetriesBudget, 1);
         }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,7 +16,7 @@
             revision::{Epoch, StoreRevision},
             route::{Bounds, Error, Route, RouteTable, Service, WeightedService},
             split::WeightedRoundRobin,
-            window::{Budget, RetryWindow},
+            window::{Budget, RetryRank, RetryWindow},
         },
         object::Control,
         priority::{Level, Priority},
@@ -243,9 +243,11 @@
     for n in 0..10_000 {
         let now = start + ms(n * 7);
         if rng.bool() {
-            window.request(&budget, now);
+            window.request(&budget, false, now);
         }
-        if window.try_spend(&budget, 1.0, now) {
+        let root = RootId::random(&mut rng);
+        let rank = RetryRank::new(Priority::new(0, false, root), 0);
+        if window.try_spend(&budget, 1.0, rank, now) {
             spent.push(now);
         }
     }
@@ -258,6 +260,24 @@
     }
 }
 
+/// Guards against retries on top of the repeated calls of requests that were sent again themselves.
+#[test]
+fn repeated_calls_use_up_the_retry_budget() {
+    let budget = Budget {
+        ratio: 0.1,
+        slack: 0.0,
+        window: Duration::from_secs(10),
+    };
+    let now = Instant::now();
+    let rank = RetryRank::new(Priority::new(0, false, RootId([0; 16])), 0);
+    for (repeated, expected) in [(0, true), (9, true), (10, false)] {
+        let mut window = RetryWindow::default();
+        (0..100).for_each(|n| window.request(&budget, n < repeated, now));
+        let spent = window.try_spend(&budget, 1.0, rank, now);
+        assert_eq!(spent, expected, "{repeated} repeated calls");
+    }
+}
+
 /// Guards against an old load report of an upstream that overrides the newer level of its service,
 /// so that requests are not refused at the entry but fail further down.
 #[tokio::test(start_paused = true)]
