Treat an entry that turns odd as missing

An entry that can't be read was ignored, so a server stayed in use by the last good form of its entry, and a new list counted it as listed.

It now counts as the removal of the entry, with the same delay, and the server is back as soon as its entry is good again.

--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -236,8 +236,8 @@
                 ..
             } => {
                 self.mesh.counters.add(Counter::ConfigInvalid, 1);
-                log::warn!(id:%, revision:%, error:%; "entry of a backend server is ignored");
-                false
+                log::warn!(id:%, revision:%, error:%; "entry names no backend server");
+                self.mark_backend_missing(&id, revision)
             }
             Item::Removed { id, .. } => self.mark_backend_missing(&id, revision),
             Item::Routes {
@@ -274,7 +274,7 @@
         let mut registry = self.mesh.registry.borrow_mut();
         let change = registry.mark_missing(id, revision, Instant::now());
         if change.is_some() {
-            log::info!(backend:% = id, revision:%; "entry of a backend server was removed");
+            log::info!(backend:% = id, revision:%; "entry of a backend server is missing");
         }
         change.is_some()
     }
