--- a/tests/shedding.rs
+++ b/tests/shedding.rs
@@ -43,6 +43,18 @@
     arrived: BTreeMap<String, u32>,
 }
 
+impl Counts {
+    /// Counts the arrival of a call at the deepest service; returns whether its servers shed.
+    fn arrive(&mut self, id: String) -> bool {
+        let arrivals = self.arrived.entry(id).or_default();
+        *arrivals += 1;
+        if *arrivals > 1 {
+            self.again.push(Instant::now());
+        }
+        self.sheds
+    }
+}
+
 type Shared = Rc<RefCell<Counts>>;
 
 fn servers(counts: Shared) -> Script {
@@ -51,15 +63,8 @@
         let (counts, rng) = (counts.clone(), rng.clone());
         async move {
             if seen.upstream.starts_with("deep") {
-                let mut counts = counts.borrow_mut();
-                let arrivals = counts.arrived.entry(seen.id()).or_default();
-                *arrivals += 1;
-                if *arrivals > 1 {
-                    counts.again.push(Instant::now());
-                }
-                let sheds = counts.sheds && rng.borrow_mut().f64() < SHED_SHARE;
-                drop(counts);
-                if sheds {
+                let sheds = counts.borrow_mut().arrive(seen.id());
+                if sheds && rng.borrow_mut().f64() < SHED_SHARE {
                     return shed(&seen);
                 }
                 sleep(Duration::from_millis(5)).await;
