Keep no name of an older entry of a server

Registry::update mapped the name of an entry before it compared the age of the entry with the known one, so a stale entry left a name behind that the server no longer has. (A stale entry that says that its run drains still counts: a run does not come back from draining.)

older_update_leaves_no_name failed before.

--- a/src/state/mesh/registry.rs
+++ b/src/state/mesh/registry.rs
@@ -137,14 +137,15 @@
         if record.backend.phase == Phase::Draining {
             self.leaving.insert(name.clone(), now);
         }
-        self.names.insert(name, record.backend.id.clone());
         let Some(known) = self.records.get_mut(&record.backend.id) else {
+            self.names.insert(name, record.backend.id.clone());
             self.records.insert(record.backend.id.clone(), record);
             return Some(Change::Joined);
         };
         if revision < known.revision {
             return None;
         }
+        self.names.insert(name, record.backend.id.clone());
         let previous = std::mem::replace(known, record);
         let (old, new) = (&previous.backend, &known.backend);
         if old.started_ms != new.started_ms {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -110,6 +110,20 @@
     assert!(usable(&registry).is_empty());
 }
 
+/// Guards against an old update that leaves a name behind which the server no longer has.
+#[test]
+fn older_update_leaves_no_name() {
+    let (mut registry, now) = (registry(), Instant::now());
+    let later = Backend {
+        started_ms: Some(2),
+        ..backend("i-1", 1)
+    };
+    registry.update(later, at(5), now);
+    registry.update(backend("i-1", 1), at(4), now);
+    assert_eq!(registry.by_name(&"i-1.1".parse().unwrap()), None);
+    assert!(registry.by_name(&"i-1.2".parse().unwrap()).is_some());
+}
+
 /// Guards against requests sent to a server whose address another one has taken over.
 #[test]
 fn address_belongs_to_the_latest_server() {
