--- a/src/state/mesh/window.rs
+++ b/src/state/mesh/window.rs
@@ -33,7 +33,7 @@
 /// A request that makes several calls to servers that fail is complete only if each of them is. So
 /// the retries go to the requests that rank first, and not to all requests in part. The rank of a
 /// request is the same at all nodes and for all calls made on its behalf.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct RetryRank(f64);
 
 impl RetryRank {
