Apply a changed settings file without a restart

SIGHUP only wrote a line that the settings were read again; the help text said that they were. Operators could not change the bounds or the store's address of a running node, and a file with a fault was noticed only at the next start.

It is checked whole; bounds and the store's address take effect at once, everything else needs a restart and is refused with the name of the setting.

Before, no file took effect. tests/docs.rs also reads the log lines of the new module.

--- a/src/commands/mesh.rs
+++ b/src/commands/mesh.rs
@@ -1,20 +1,19 @@
 //! `comfreybay-sidecar`: runs the node beside one backend server of a platform.
 
-use std::{
-    fs, io,
-    path::{Path, PathBuf},
-    process::ExitCode,
-    rc::Rc,
-};
+mod reload;
+
+use std::{io, path::PathBuf, process::ExitCode, rc::Rc};
 
 use pico_args::Arguments;
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
+    sync::Notify,
     task::{JoinSet, LocalSet},
 };
 use tokio_util::sync::CancellationToken;
 
+use self::reload::SettingsFile;
 use super::{Error, Result, finish, log as logging};
 use crate::{
     protocol::directory::{Directory, HeaderNames},
@@ -34,7 +33,9 @@
 Usage:
   comfreybay-sidecar [SETTINGS] [--print-config]
 
-Without SETTINGS, the file is named by the platform's environment variable. SIGHUP reads it again.
+Without SETTINGS, the file is named by the platform's environment variable. It is read again at
+SIGHUP and when it has changed. A file with a fault is reported and leaves the settings in effect;
+so does one that changes more than the bounds and the store's address, which needs a restart.
 
 Options:
   --print-config  prints the settings as the node understands them and exits
@@ -90,49 +91,45 @@
     let path = path.ok_or_else(|| {
         Error::Usage("no settings file given, and the platform names none".to_owned())
     })?;
-    let settings = read(platform, &path)?;
+    let file = SettingsFile::open(path)?;
+    let settings = file.parse(platform)?;
     if print {
         println!("{settings:#?}");
         return Ok(());
     }
-    start(platform, settings)
+    start(platform, settings, file)
 }
 
-fn read<P: Platform>(platform: &P, path: &Path) -> Result<Settings> {
-    let text = fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.to_owned(),
-        source,
-    })?;
-    let settings = platform.settings(&text).and_then(Settings::checked);
-    settings.map_err(|fault| Error::SidecarSettings {
-        path: path.to_owned(),
-        fault,
-    })
-}
-
-fn start<P: Platform>(platform: &P, settings: Settings) -> Result<()> {
+fn start<P: Platform>(platform: &P, settings: Settings, file: SettingsFile) -> Result<()> {
     let sink = logging::setup_stdout(&Log::default())?;
-    let result = run_node(platform, settings);
+    let result = run_node(platform, settings, file);
     sink.close();
     result
 }
 
-fn run_node<P: Platform>(platform: &P, settings: Settings) -> Result<()> {
+fn run_node<P: Platform>(platform: &P, settings: Settings, file: SettingsFile) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(Error::Runtime)?;
-    LocalSet::new().block_on(&runtime, serve(platform, settings))
+    LocalSet::new().block_on(&runtime, serve(platform, settings, file))
 }
 
-async fn serve<P: Platform>(platform: &P, settings: Settings) -> Result<()> {
+async fn serve<P: Platform>(platform: &P, settings: Settings, file: SettingsFile) -> Result<()> {
     let net = TcpNet::new(settings.inbound.ip());
     let stop = CancellationToken::new();
     let mut tasks = JoinSet::new();
-    let signals = watch_signals(stop.clone()).map_err(Error::Runtime)?;
+    let reload = Rc::new(Notify::new());
+    let signals = watch_signals(stop.clone(), reload.clone()).map_err(Error::Runtime)?;
     tasks.spawn_local(signals);
     let (name, service) = (settings.name.clone(), settings.service.clone());
     log::info!(name:%, service:%; "node starts");
     let mesh = Mesh::new(net, settings, platform.names(), platform.directory());
-    let result = node::run(Rc::new(mesh), stop.clone()).await;
+    let mesh = Rc::new(mesh);
+    let reloads = reload::run(&mesh, platform, file, &reload);
+    let result = tokio::select! {
+        biased;
+        result = node::run(mesh.clone(), stop.clone()) => result,
+        never = reloads => match never {},
+    };
     stop.cancel();
     while tasks.join_next().await.is_some() {}
     result?;
@@ -140,8 +137,11 @@
     Ok(())
 }
 
-/// Cancels `stop` at SIGTERM or SIGINT; SIGHUP is only logged.
-fn watch_signals(stop: CancellationToken) -> io::Result<impl Future<Output = ()>> {
+/// Cancels `stop` at SIGTERM or SIGINT, and notifies `reload` at SIGHUP.
+fn watch_signals(
+    stop: CancellationToken,
+    reload: Rc<Notify>,
+) -> io::Result<impl Future<Output = ()>> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     let mut hup = signal(SignalKind::hangup())?;
@@ -153,7 +153,7 @@
                 _ = term.recv() => "SIGTERM",
                 _ = int.recv() => "SIGINT",
                 _ = hup.recv() => {
-                    log::info!("settings are read again");
+                    reload.notify_one();
                     continue;
                 }
             };
--- a/src/state/mesh/registry.rs
+++ b/src/state/mesh/registry.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Changes how long a server may be missing.
+    pub fn set_delay(&mut self, delay: RemovalDelay) {
+        self.delay = delay;
+    }
+
     /// Records an entry; `None` if it changes nothing or is older than the known one.
     pub fn update(
         &mut self,
--- a/src/state/mesh/settings.rs
+++ b/src/state/mesh/settings.rs
@@ -78,4 +78,32 @@
         }
         Ok(self)
     }
+
+    /// Checks that a running node can take over `changed` settings: only the store's address and the
+    /// bounds may differ.
+    ///
+    /// # Errors
+    /// Another setting differs.
+    pub fn check_reload(&self, changed: &Self) -> Result<()> {
+        let texts = |s: &Self| {
+            [
+                ("the node's name", s.name.to_string()),
+                ("the service", s.service.to_string()),
+                ("the zone", s.zone.to_string()),
+                ("the outbound address", s.outbound.to_string()),
+                ("the inbound address", s.inbound.to_string()),
+                ("the ready address", s.ready.to_string()),
+                ("the server's address", s.server.to_string()),
+                ("the metrics address", format!("{:?}", s.metrics)),
+            ]
+        };
+        let pairs = texts(self).into_iter().zip(texts(changed));
+        let mut differing = pairs.filter(|((_, old), (_, new))| old != new);
+        match differing.next() {
+            Some(((field, old), (_, new))) => Err(InvalidSettings(format!(
+                "{field} changes from {old} to {new}, which needs a restart of the node"
+            ))),
+            None => Ok(()),
+        }
+    }
 }
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -1,6 +1,6 @@
 //! Replication of the platform's store: one list read at the start, then watches.
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use http::{HeaderMap, StatusCode};
 use thiserror::Error;
@@ -57,7 +57,7 @@
 /// Follows the store until `stop` is cancelled.
 pub async fn run<N: Net, D: Directory>(mesh: Rc<Mesh<N, D>>, stop: CancellationToken) {
     let follower = Follower {
-        client: PlatformClient::new(mesh.net.clone(), mesh.settings.store),
+        client: PlatformClient::new(mesh.net.clone(), mesh.store()),
         mesh,
         lost_since: None,
         epoch: Epoch::default(),
@@ -82,6 +82,8 @@
     Restored,
     /// Another node has read a newer revision, so this node's connection to the store may be dead.
     Behind,
+    /// The settings name another address for the store.
+    StoreMoved,
 }
 
 struct Follower<N: Net, D> {
@@ -103,6 +105,7 @@
         let mut backoff = BACKOFF_MIN_MS;
         let mut pause = Duration::ZERO;
         loop {
+            self.use_store(self.mesh.store());
             let started = Instant::now();
             let result = match revision {
                 None => self.list().await,
@@ -129,6 +132,7 @@
                     self.log_behind();
                     self.is_rejoining = true;
                 }
+                Ok(ReadResult::StoreMoved) => self.is_rejoining = true,
                 Err(FollowError::Read(PlatformError::Status(StatusCode::GONE))) => revision = None,
                 Err(error) => {
                     self.record_failure(&error);
@@ -141,6 +145,14 @@
         }
     }
 
+    /// Connects to another address with the next read, if the store has moved.
+    fn use_store(&mut self, address: SocketAddr) {
+        if self.client.address() != address {
+            log::info!(store:% = address; "store has moved");
+            self.client = PlatformClient::new(self.mesh.net.clone(), address);
+        }
+    }
+
     async fn list(&mut self) -> Result<ReadResult> {
         let timeout = Duration::from_millis(PAGE_TIMEOUT_MS);
         let mut after = None;
@@ -202,6 +214,7 @@
             biased;
             response = self.client.get(&path, RESPONSE_MAX_BYTES, timeout) => response?,
             () = wait_until_behind(&self.mesh) => return Ok(ReadResult::Behind),
+            () = self.mesh.store_moved.notified() => return Ok(ReadResult::StoreMoved),
         };
         if self.record_epoch(&response.headers, Some(from))? {
             return Ok(ReadResult::Restored);
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -177,7 +177,7 @@
 async fn drain<N: Net, D>(mesh: &Mesh<N, D>, callers: &ListenerTasks, peers: &ListenerTasks) {
     // The signal may have arrived while the process was paused.
     let tick_due = mesh.tick_due.get() + Duration::from_millis(TICK_MS);
-    let (started, grace) = (Instant::now().min(tick_due), mesh.settings.bounds.grace);
+    let (started, grace) = (Instant::now().min(tick_due), mesh.bounds().grace);
     let grace_end = started + grace;
     let max = grace.mul_f64(EXIT_SHARE);
     let cancel_at = grace_end - Duration::from_millis(EXIT_MS).min(max);
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -32,7 +33,7 @@
             registry::{Registry, RemovalDelay},
             revision::StoreRevision,
             route::{Route, RouteTable},
-            settings::Settings,
+            settings::{InvalidSettings, PlatformBounds, Settings},
             split::WeightedRoundRobin,
             window::{Budget, RetryRank, RetryWindow},
         },
@@ -75,8 +76,13 @@
 
 /// The state of one node, shared by its tasks.
 pub struct Mesh<N: Net, D> {
-    /// Settings of the node process.
+    /// Settings of the node process at its start. Those that can change meanwhile are in
+    /// [`Mesh::bounds`] and [`Mesh::store`].
     pub settings: Settings,
+    bounds: Cell<PlatformBounds>,
+    store: Cell<SocketAddr>,
+    /// Notified when the store has another address.
+    pub store_moved: Notify,
     /// Names of the platform's headers.
     pub names: HeaderNames,
     /// Paths and formats of the platform's store.
@@ -150,10 +156,7 @@
             control,
             rng.fork(),
         );
-        let removal_delay = RemovalDelay {
-            normal: settings.bounds.drain.mul_f64(MISSING_DELAY_SHARE),
-            after_outage: Duration::from_millis(AFTER_OUTAGE_MS),
-        };
+        let removal_delay = removal_delay(&settings.bounds);
         Self {
             gate: Gate::new(1, Favour::Goodput, control, rng.fork()),
             router,
@@ -183,6 +186,9 @@
             retry_windows: RefCell::default(),
             cooldowns: RefCell::default(),
             own_id: RefCell::default(),
+            bounds: Cell::new(settings.bounds),
+            store: Cell::new(settings.store),
+            store_moved: Notify::new(),
             settings,
             names,
             directory,
@@ -190,6 +196,31 @@
         }
     }
 
+    /// Limits that the platform imposes.
+    pub fn bounds(&self) -> PlatformBounds {
+        self.bounds.get()
+    }
+
+    /// Address of the platform's store.
+    pub fn store(&self) -> SocketAddr {
+        self.store.get()
+    }
+
+    /// Puts changed settings in effect. Connections and requests in progress are not affected.
+    ///
+    /// # Errors
+    /// A setting differs that can only change with a restart; nothing is changed then.
+    pub fn reload(&self, settings: &Settings) -> Result<(), InvalidSettings> {
+        self.settings.check_reload(settings)?;
+        self.bounds.set(settings.bounds);
+        let mut registry = self.registry.borrow_mut();
+        registry.set_delay(removal_delay(&settings.bounds));
+        if self.store.replace(settings.store) != settings.store {
+            self.store_moved.notify_one();
+        }
+        Ok(())
+    }
+
     /// Whether the node can serve callers: routes and backend servers are known, and it is not
     /// retiring.
     pub fn is_ready(&self) -> bool {
@@ -335,7 +366,7 @@
     }
 
     fn budget(&self) -> Budget {
-        self.settings.bounds.budget
+        self.bounds().budget
     }
 
     /// The levels to report on a response: this node's own, and recent ones of the services that
@@ -401,6 +432,13 @@
     }
 }
 
+fn removal_delay(bounds: &PlatformBounds) -> RemovalDelay {
+    RemovalDelay {
+        normal: bounds.drain.mul_f64(MISSING_DELAY_SHARE),
+        after_outage: Duration::from_millis(AFTER_OUTAGE_MS),
+    }
+}
+
 /// Connections allowed beyond the number of slots, because closing ones still count.
 const SPARE_CONNECTIONS: u32 = 16;
 
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Address of the service.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Requests `path`; the response may have at most `max_bytes` and take at most `time_limit`.
     ///
     /// # Errors
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -299,6 +299,7 @@
     let mut files = vec![];
     sources(&root().join("src/transport/mesh"), &mut files);
     files.push(root().join("src/commands/mesh.rs"));
+    sources(&root().join("src/commands/mesh"), &mut files);
     let mut seen = 0;
     for file in files {
         let text = fs::read_to_string(&file).expect("the source is readable");
