Let four nodes of each zone read the store for the others

Four nodes of a zone, found by rendezvous hashing over the servers that every node knows, hold a watch; the others ask one of them for the store's answers with a long poll. A node reads the store itself at its start, after a restore, when a reader is silent, refuses or does not know what it has read, and when another node has read further. The receiver applies only records after its own revision and of its epoch.

Reports of other nodes are now judged by the time since this node fell behind: the wait was lost with each answer of a reader, which comes before it has ended. A report that the store does not confirm is dropped.

--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -40,6 +40,10 @@
 pub const RATE_LIMIT: &str = "cb-rate-limit";
 /// Epoch and revision of the latest item that a node has read from the platform's store.
 pub const REVISION: &str = "cb-revision";
+/// Epoch and revision after which a node asks another one for the changes of the platform's store.
+pub const AFTER: &str = "cb-after";
+/// Time for which the answer to that request may be held back, in ms.
+pub const HOLD_MS: &str = "cb-hold-ms";
 /// Longest useful wait in the queue, in ms.
 pub const MAX_WAIT_MS: &str = "cb-patience-ms";
 /// Importance of the client request.
--- a/src/state/mesh/mod.rs
+++ b/src/state/mesh/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod backend;
 pub mod calls;
+pub mod changelog;
 pub mod downstream;
 pub mod progress;
+pub mod readers;
 pub mod registry;
 pub mod revision;
 pub mod route;
--- a/src/state/mesh/progress.rs
+++ b/src/state/mesh/progress.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::revision::StoreRevision;
 
 /// Shortest duration of a watch.
@@ -25,6 +27,7 @@
     latest_item: StoreRevision,
     read: StoreRevision,
     reported: StoreRevision,
+    behind_since: Option<Instant>,
 }
 
 impl Progress {
@@ -36,19 +39,33 @@
     /// Records that everything up to a revision was read.
     pub fn read_to(&mut self, revision: StoreRevision) {
         self.read = self.read.max(revision);
+        if self.reported <= self.read {
+            self.behind_since = None;
+        }
+    }
+
+    /// Records that the store has nothing later than a revision, whatever other nodes reported
+    /// before.
+    pub fn confirm(&mut self, revision: StoreRevision) {
+        self.read_to(revision);
+        self.reported = self.reported.min(self.read);
+        self.behind_since = None;
     }
 
-    /// Records the revision of the latest item that another node has read. Returns true if it is
-    /// the highest reported so far and this node has not read up to it.
-    pub fn observe_peer(&mut self, revision: StoreRevision) -> bool {
-        let is_new = revision > self.reported && revision > self.read;
+    /// Records the revision of the latest item that another node has read. Returns whether this node
+    /// has just fallen behind.
+    pub fn observe_peer(&mut self, revision: StoreRevision, now: Instant) -> bool {
         self.reported = self.reported.max(revision);
-        is_new
+        let has_fallen = self.reported > self.read && self.behind_since.is_none();
+        if has_fallen {
+            self.behind_since = Some(now);
+        }
+        has_fallen
     }
 
-    /// Whether another node has read further than this one.
-    pub fn is_behind(&self) -> bool {
-        self.reported > self.read
+    /// When this node learned that another one has read further, unless it has caught up since.
+    pub fn behind_since(&self) -> Option<Instant> {
+        self.behind_since
     }
 
     /// Revision of the latest item that was read, for the report to other nodes.
--- /dev/null
+++ b/src/state/mesh/readers.rs
@@ -0,0 +1,70 @@
+//! Choice of the nodes that read the platform's store for their availability zone.
+//!
+//! Each node computes the choice from the servers that it knows, so nodes need no agreement. Where
+//! their views differ, a node that is asked without reading the store refuses, and the one that
+//! asked reads the store itself.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use crate::state::{
+    id::{Digest, ZoneName},
+    object::Upstream,
+};
+
+/// Readers of one zone: enough that some reach the store when others are stopped, cut off or turned
+/// away at the same time.
+pub const READERS_PER_ZONE: usize = 4;
+
+/// Where a node gets the changes of the store from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// From the store itself.
+    Store,
+    /// From one of these nodes, in order of preference.
+    Readers(Vec<SocketAddr>),
+}
+
+/// The source for the node at `own` in `zone`, given the servers known in all zones.
+///
+/// Rendezvous hashing makes the choice: a server that joins or leaves replaces at most one reader,
+/// and the other nodes of the zone spread evenly over the readers.
+///
+/// ```
+/// use comfreybay::state::mesh::readers::{Source, source};
+/// // A node that knows no other node reads the store.
+/// let own = "10.0.0.1:80".parse().unwrap();
+/// assert_eq!(source(own, &"a".parse().unwrap(), []), Source::Store);
+/// ```
+pub fn source<'a>(
+    own: SocketAddr,
+    zone: &ZoneName,
+    servers: impl IntoIterator<Item = &'a Upstream>,
+) -> Source {
+    let in_zone = servers.into_iter().filter(|s| s.zone == *zone);
+    let mut ranked: Vec<_> = in_zone.map(|s| (rank(&[s.peer]), s.peer)).collect();
+    if ranked.len() <= READERS_PER_ZONE {
+        return Source::Store;
+    }
+    ranked.select_nth_unstable(READERS_PER_ZONE - 1);
+    ranked.truncate(READERS_PER_ZONE);
+    if ranked.iter().any(|(_, peer)| *peer == own) {
+        return Source::Store;
+    }
+    let mut readers: Vec<_> = ranked.into_iter().map(|(_, peer)| peer).collect();
+    readers.sort_by_cached_key(|peer| rank(&[own, *peer]));
+    Source::Readers(readers)
+}
+
+/// Number of readers in all zones, given the servers known.
+pub fn count<'a>(servers: impl IntoIterator<Item = &'a Upstream>) -> usize {
+    let mut zones: BTreeMap<_, usize> = BTreeMap::new();
+    for server in servers {
+        *zones.entry(&server.zone).or_default() += 1;
+    }
+    zones.values().map(|n| (*n).min(READERS_PER_ZONE)).sum()
+}
+
+fn rank(nodes: &[SocketAddr]) -> [u8; 32] {
+    let text: Vec<_> = nodes.iter().map(ToString::to_string).collect();
+    Digest::of(text.join(" ").as_bytes()).0
+}
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -1,10 +1,11 @@
-//! Replication of the platform's store: one list read at the start, then watches.
+//! Replication of the platform's store: one list read at the start, then watches at the store, or
+//! changes that another node of the zone passes on.
 
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use http::{HeaderMap, StatusCode};
 use thiserror::Error;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -13,7 +14,9 @@
         counters::Counter,
         mesh::{
             backend::{Backend, InstanceId},
+            changelog::Batch,
             progress,
+            readers::Source,
             registry::Change,
             revision::{Epoch, StoreRevision},
             route::RouteTable,
@@ -26,6 +29,7 @@
         net::Net,
         platform::{PlatformClient, PlatformError},
     },
+    relay::{self, RelayError},
     shared::Mesh,
 };
 
@@ -34,6 +38,10 @@
 /// Time allowed for the watch to return after another node has reported a newer revision. The store
 /// takes a few ms to respond; if it is slower, renewing the watch costs only one more read.
 const CATCH_UP_MS: u64 = 300;
+/// The same for changes that a reader passes on: it may be in its longest pause between two watches.
+const READER_CATCH_UP_MS: u64 = 600;
+/// Longest watch of a node that reads the store only because all readers of its zone have failed.
+const SUBSTITUTE_WATCH: Duration = Duration::from_secs(3);
 /// Shortest time for which a watch can wait.
 const REJOIN_WATCH: Duration = Duration::from_millis(1);
 /// Time allowed for an answer that the store does not hold back.
@@ -59,6 +67,7 @@
     let follower = Follower {
         client: PlatformClient::new(mesh.net.clone(), mesh.store()),
         mesh,
+        readers: relay::Client::default(),
         lost_since: None,
         epoch: Epoch::default(),
         listed_epoch: None,
@@ -84,11 +93,14 @@
     Behind,
     /// The settings name another address for the store.
     StoreMoved,
+    /// A reader could not pass on changes.
+    ReaderFailed(SocketAddr, RelayError),
 }
 
 struct Follower<N: Net, D> {
     mesh: Rc<Mesh<N, D>>,
     client: PlatformClient<N>,
+    readers: relay::Client,
     lost_since: Option<Instant>,
     epoch: Epoch,
     /// Epoch of the last complete list.
@@ -107,9 +119,14 @@
         loop {
             self.use_store(self.mesh.store());
             let started = Instant::now();
-            let result = match revision {
-                None => self.list().await,
-                Some(from) => self.watch(from).await,
+            let reader = match self.is_rejoining {
+                true => None,
+                false => self.readers.reader(&self.mesh, started),
+            };
+            let result = match (revision, reader) {
+                (None, _) => self.list().await,
+                (Some(from), None) => self.watch(from).await,
+                (Some(from), Some(reader)) => self.ask(reader, from).await,
             };
             match result {
                 Ok(ReadResult::UpTo {
@@ -118,11 +135,11 @@
                 }) => {
                     self.record_recovery(at);
                     self.mesh.counters.set(Counter::ConfigReadTo, at.revision);
-                    self.mesh.progress.borrow_mut().read_to(at);
+                    self.record_progress(at);
                     self.is_rejoining = false;
                     revision = Some(at.revision);
                     backoff = BACKOFF_MIN_MS;
-                    if changed {
+                    if changed && reader.is_none() {
                         pause = progress::watch_pause(pause, started.elapsed());
                         sleep(pause).await;
                     }
@@ -133,9 +150,11 @@
                     self.is_rejoining = true;
                 }
                 Ok(ReadResult::StoreMoved) => self.is_rejoining = true,
+                Ok(ReadResult::ReaderFailed(reader, error)) => self.replace_reader(reader, &error),
                 Err(FollowError::Read(PlatformError::Status(StatusCode::GONE))) => revision = None,
                 Err(error) => {
                     self.record_failure(&error);
+                    self.set_reading(false);
                     self.is_rejoining = true;
                     let jitter = 0.5 + self.mesh.rng.borrow_mut().f64();
                     sleep(Duration::from_millis(backoff).mul_f64(jitter)).await;
@@ -194,18 +213,20 @@
         self.listed_epoch = Some(self.epoch);
         self.mesh.listed.set(true);
         self.mesh.apply_registry();
+        let revision = self.at(revision.unwrap_or_default());
+        self.mesh.relay.restart(revision);
         Ok(ReadResult::UpTo {
-            revision: self.at(revision.unwrap_or_default()),
+            revision,
             changed: true,
         })
     }
 
     async fn watch(&mut self, from: u64) -> Result<ReadResult> {
-        let nodes = self.mesh.registry.borrow().len();
-        let watch_time = match self.is_rejoining {
-            true => REJOIN_WATCH,
-            false => progress::watch_duration(nodes, &mut self.mesh.rng.borrow_mut()),
-        };
+        let started = Instant::now();
+        let watch_time = self.watch_time();
+        if !self.is_rejoining {
+            self.set_reading(true);
+        }
         let timeout = watch_time + Duration::from_millis(WATCH_TIMEOUT_EXTRA_MS);
         let timeout = timeout.max(Duration::from_millis(PAGE_TIMEOUT_MS));
         let path = self.mesh.directory.watch_path(from, watch_time);
@@ -213,26 +234,96 @@
         let response = tokio::select! {
             biased;
             response = self.client.get(&path, RESPONSE_MAX_BYTES, timeout) => response?,
-            () = wait_until_behind(&self.mesh) => return Ok(ReadResult::Behind),
+            () = wait_until_behind(&self.mesh, Some(started), CATCH_UP_MS) => return Ok(ReadResult::Behind),
             () = self.mesh.store_moved.notified() => return Ok(ReadResult::StoreMoved),
         };
         if self.record_epoch(&response.headers, Some(from))? {
             return Ok(ReadResult::Restored);
         }
         let body = response.body.unwrap_or_default();
-        let changes = self.mesh.directory.parse_changes(&body)?;
+        let (revision, changed) = self.apply_changes(&body, from)?;
+        self.mesh.relay.push(Batch {
+            from: self.at(from),
+            to: revision,
+            body,
+        });
+        Ok(ReadResult::UpTo { revision, changed })
+    }
+
+    fn watch_time(&self) -> Duration {
+        if self.is_rejoining {
+            return REJOIN_WATCH;
+        }
+        let readers = self.mesh.readers.get();
+        let watch_time = progress::watch_duration(readers, &mut self.mesh.rng.borrow_mut());
+        match *self.mesh.source.borrow() {
+            Source::Store => watch_time,
+            Source::Readers(_) => watch_time.min(SUBSTITUTE_WATCH),
+        }
+    }
+
+    /// Asks a reader for the changes after a revision.
+    async fn ask(&mut self, reader: SocketAddr, from: u64) -> Result<ReadResult> {
+        self.set_reading(false);
+        let at = self.at(from);
+        let answer = tokio::select! {
+            biased;
+            answer = relay::ask(&self.mesh, reader, at) => answer,
+            () = wait_until_behind(&self.mesh, None, READER_CATCH_UP_MS) => return Ok(ReadResult::Behind),
+        };
+        let failed = |error| Ok(ReadResult::ReaderFailed(reader, error));
+        let (to, body) = match answer {
+            Ok(relay::Answer::Changes { to, body }) => (to, body),
+            Ok(relay::Answer::UpToDate) => {
+                return Ok(ReadResult::UpTo {
+                    revision: at,
+                    changed: false,
+                });
+            }
+            Err(error) => return failed(error),
+        };
+        if to.epoch != self.epoch {
+            return failed(RelayError::Unknown);
+        }
+        self.mesh.counters.add(Counter::ConfigReceived, 1);
+        match self.apply_changes(&body, from) {
+            Ok((revision, changed)) => Ok(ReadResult::UpTo { revision, changed }),
+            Err(error) => failed(RelayError::Broken(error.to_string())),
+        }
+    }
+
+    /// Applies the changes that follow a revision, and returns the revision that they reach and
+    /// whether there are any. Changes up to `from` are left out, because their effects may have been
+    /// undone by later ones that are already in effect.
+    fn apply_changes(&self, body: &[u8], from: u64) -> Result<(StoreRevision, bool)> {
+        let changes = self.mesh.directory.parse_changes(body)?;
         let (mut has_items, mut changed) = (false, false);
         for item in changes.items {
-            has_items = true;
-            changed |= self.apply_item(item);
+            if item.revision() > from {
+                has_items = true;
+                changed |= self.apply_item(item);
+            }
         }
         if changed {
             self.mesh.apply_registry();
         }
-        Ok(ReadResult::UpTo {
-            revision: self.at(changes.revision.max(from)),
-            changed: has_items,
-        })
+        Ok((self.at(changes.revision.max(from)), has_items))
+    }
+
+    fn set_reading(&self, is_reading: bool) {
+        self.mesh.relay.set_reading(is_reading);
+        self.mesh
+            .counters
+            .set(Counter::ConfigReader, is_reading.into());
+    }
+
+    /// Asks another reader next. The store is read first if time was lost, or if no reader is left.
+    fn replace_reader(&mut self, reader: SocketAddr, error: &RelayError) {
+        self.mesh.counters.add(Counter::ConfigReaderFailed, 1);
+        log::info!(reader:%, error:%; "reader is replaced");
+        let now = Instant::now();
+        self.readers.avoid(reader, now);
+        self.is_rejoining = !error.is_refusal() || self.readers.reader(&self.mesh, now).is_none();
     }
 
     /// Applies one item; returns whether the record of a backend server changed.
@@ -316,6 +407,14 @@
         }
     }
 
+    fn record_progress(&self, at: StoreRevision) {
+        let mut progress = self.mesh.progress.borrow_mut();
+        match self.is_rejoining {
+            true => progress.confirm(at),
+            false => progress.read_to(at),
+        }
+    }
+
     /// A revision of the present epoch.
     fn at(&self, revision: u64) -> StoreRevision {
         let epoch = self.epoch;
@@ -359,13 +458,22 @@
     }
 }
 
-/// Completes when this node is still behind another one [`CATCH_UP_MS`] after learning of a newer
-/// revision.
-async fn wait_until_behind<N: Net, D>(mesh: &Mesh<N, D>) {
+/// Completes when this node is behind another one and has been since `catch_up_ms`, counted from
+/// `started` at the earliest.
+async fn wait_until_behind<N: Net, D>(
+    mesh: &Mesh<N, D>,
+    started: Option<Instant>,
+    catch_up_ms: u64,
+) {
+    let behind_since = || mesh.progress.borrow().behind_since();
     loop {
-        mesh.behind_notify.notified().await;
-        sleep(Duration::from_millis(CATCH_UP_MS)).await;
-        if mesh.progress.borrow().is_behind() {
+        let Some(since) = behind_since() else {
+            mesh.behind_notify.notified().await;
+            continue;
+        };
+        let since = started.map_or(since, |started| since.max(started));
+        sleep_until(since + Duration::from_millis(catch_up_ms)).await;
+        if behind_since().is_some() {
             return;
         }
     }
--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     protocol::{
-        call::{mark_unique, write, write_unique},
+        call::{HeaderError, mark_unique, write, write_unique},
         header,
     },
     state::{counters::Counter, id::ClassName},
@@ -26,6 +26,7 @@
         server::Handler,
     },
     context::PeerHeaders,
+    relay,
     server::serve,
     shared::Mesh,
 };
@@ -46,6 +47,10 @@
         _from: SocketAddr,
     ) -> Response<Body> {
         let mesh = &self.0;
+        if relay::is_request(request.headers()) {
+            let answer = relay::answer(mesh, request.headers()).await;
+            return answer.unwrap_or_else(|error| self.malformed(&error));
+        }
         mesh.counters.add(Counter::PeerCalls, 1);
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
@@ -53,11 +58,7 @@
         mesh.read_rate_limit(&head.headers);
         let metadata = match PeerHeaders::read(&head.headers) {
             Ok(metadata) => metadata,
-            Err(error) => {
-                mesh.counters.add(Counter::MessagesRefused, 1);
-                let reply = Reply::not_run(0, error.to_string(), Duration::ZERO);
-                return self.peer_response(None, reply.with_status(StatusCode::BAD_REQUEST));
-            }
+            Err(error) => return self.malformed(&error),
         };
         // The sending node has checked the size of the body.
         let buffered = BufferedRequest::read_up_to(usize::MAX, head, body, &mesh.buffered).await;
@@ -77,6 +78,12 @@
 }
 
 impl<N: Net, D> Inbound<N, D> {
+    fn malformed(&self, error: &HeaderError) -> Response<Body> {
+        self.0.counters.add(Counter::MessagesRefused, 1);
+        let reply = Reply::not_run(0, error.to_string(), Duration::ZERO);
+        self.peer_response(None, reply.with_status(StatusCode::BAD_REQUEST))
+    }
+
     /// Adds the headers that report this node's state on each response, and framing that lets the
     /// receiver detect a truncated body.
     fn peer_response(&self, class: Option<&ClassName>, reply: Reply) -> Response<Body> {
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -15,6 +15,7 @@
 mod outbound;
 mod pressure;
 mod ready;
+mod relay;
 mod server;
 mod shared;
 mod trace;
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -183,6 +183,7 @@
     let cancel_at = grace_end - Duration::from_millis(EXIT_MS).min(max);
     let finish_at = cancel_at - Duration::from_millis(ANSWER_MS).min(max);
     mesh.retiring.set(true);
+    mesh.relay.wake();
     mesh.stop_end.set(Some(grace_end));
     mesh.gate.set_stop(finish_at);
     let notice = Duration::from_millis(READY_NOTICE_MS);
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -30,6 +30,7 @@
             calls::RunningRequests,
             downstream::{DownstreamLevels, Excluded},
             progress::Progress,
+            readers::{self, Source},
             registry::{Registry, RemovalDelay},
             revision::StoreRevision,
             route::{Route, RouteTable},
@@ -50,6 +51,7 @@
         pool::Pool,
     },
     metrics::Latency,
+    relay::Relay,
 };
 
 /// Share of the drain bound for which a server whose entry is missing may still get requests; the
@@ -107,6 +109,12 @@
     pub listed: Cell<bool>,
     /// Store revisions read by this node and reported by other nodes.
     pub progress: RefCell<Progress>,
+    /// Where this node gets the changes of the store from.
+    pub source: RefCell<Source>,
+    /// Number of nodes that read the store for others.
+    pub readers: Cell<usize>,
+    /// Changes of the store that this node passes on.
+    pub relay: Relay,
     /// Notified when another node reports a newer store revision.
     pub behind_notify: Notify,
     /// Whether the node is about to stop: it is not ready, and reports this to other nodes.
@@ -167,6 +175,9 @@
             routes: RefCell::default(),
             listed: Cell::new(false),
             progress: RefCell::default(),
+            source: RefCell::new(Source::Store),
+            readers: Cell::default(),
+            relay: Relay::default(),
             behind_notify: Notify::new(),
             retiring: Cell::new(false),
             refusing_callers: Cell::new(false),
@@ -272,8 +283,12 @@
             .iter()
             .map(|(name, upstreams)| (name, upstreams.as_slice()));
         self.router.replace(upstreams);
-        self.links
-            .retain(&all.values().flatten().map(|u| u.peer).collect());
+        let servers = || all.values().flatten();
+        self.links.retain(&servers().map(|u| u.peer).collect());
+        let own = SocketAddr::new(self.settings.server.ip(), self.settings.inbound.port());
+        let zone = &self.settings.zone;
+        self.source.replace(readers::source(own, zone, servers()));
+        self.readers.set(readers::count(servers()));
         let Some(own) = registry.by_address(self.settings.server) else {
             return;
         };
@@ -306,7 +321,8 @@
     /// Reads the store revision that another node reports.
     pub fn read_progress(&self, headers: &HeaderMap) {
         let revision: Option<StoreRevision> = read(headers, header::REVISION).ok().flatten();
-        if revision.is_some_and(|r| self.progress.borrow_mut().observe_peer(r)) {
+        let now = Instant::now();
+        if revision.is_some_and(|r| self.progress.borrow_mut().observe_peer(r, now)) {
             self.behind_notify.notify_one();
         }
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -375,13 +375,33 @@
         at(4),
         "the store's own revision must not count as an item"
     );
-    assert!(!progress.observe_peer(at(5)));
-    assert!(progress.observe_peer(at(7)));
-    assert!(!progress.observe_peer(at(7)));
-    assert!(progress.is_behind());
-    progress.read_to(at(7));
-    assert!(!progress.is_behind());
-    assert!(progress.observe_peer(at(8)));
+    let now = Instant::now();
+    assert!(!progress.observe_peer(at(5), now));
+    assert_eq!(progress.behind_since(), None);
+    assert!(progress.observe_peer(at(7), now));
+    assert!(!progress.observe_peer(at(7), now + ms(1)));
+    // A later report does not extend the time for which this node has been behind.
+    assert!(!progress.observe_peer(at(9), now + ms(2)));
+    assert_eq!(progress.behind_since(), Some(now));
+    progress.read_to(at(8));
+    assert_eq!(progress.behind_since(), Some(now));
+    progress.read_to(at(9));
+    assert_eq!(progress.behind_since(), None);
+    assert!(progress.observe_peer(at(10), now + ms(3)));
+}
+
+/// Guards against a node that renews its watch without end after a report that the store does not
+/// confirm.
+#[test]
+fn report_that_the_store_does_not_confirm_is_dropped() {
+    let mut progress = Progress::default();
+    let now = Instant::now();
+    progress.read_to(at(5));
+    assert!(progress.observe_peer(at(u64::MAX), now));
+    progress.confirm(at(6));
+    assert_eq!(progress.behind_since(), None);
+    assert!(!progress.observe_peer(at(6), now));
+    assert!(progress.observe_peer(at(7), now));
 }
 
 /// Guards against a read rate that grows with the fleet, and against watches that all end
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -23,6 +23,8 @@
     conns: RefCell<Vec<(IpAddr, Rc<std::cell::Cell<bool>>)>>,
     /// Number of watch requests received.
     pub watches: std::cell::Cell<usize>,
+    /// Nodes that the store answers with 503.
+    pub turned_away: RefCell<std::collections::BTreeSet<IpAddr>>,
 }
 
 impl FakeStore {
@@ -40,6 +42,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Answers a node with 503 from now on, also where it waits.
+    pub fn turn_away(&self, ip: IpAddr) {
+        self.turned_away.borrow_mut().insert(ip);
+        self.changed.notify_waiters();
+    }
+
     /// Stops answering on the connections that are open now from an address; later ones are
     /// answered.
     pub fn silence(&self, ip: IpAddr) {
@@ -117,7 +125,10 @@
         let service = service_fn(move |request: Request<Incoming>| {
             let (store, silent) = (store.clone(), silent.clone());
             async move {
-                let answer = answer(&store, request.uri().path()).await;
+                let mut answer = answer(&store, request.uri().path()).await;
+                if store.turned_away.borrow().contains(&from.ip()) {
+                    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                }
                 if silent.get() {
                     std::future::pending::<()>().await;
                 }
