Let nodes pass on changes that they have from another node

At the start of a fleet every node knows other servers, so a node often asked one that took other nodes for the readers.

A node now passes on what it has from another node as well, while it is current itself. Nodes ask only nodes of a lower rank than their own, so there are no circles and each chain ends at a node that reads the store.

nodes_with_different_views_ask_in_one_direction tries all views of ten nodes; it failed while a node that does not list itself could ask one of a higher rank.

--- a/src/state/mesh/changelog.rs
+++ b/src/state/mesh/changelog.rs
@@ -1,4 +1,4 @@
-//! Recent changes of the platform's store, kept by a node that reads them for others.
+//! Recent changes of the platform's store, kept by a node to pass them on.
 
 use std::collections::VecDeque;
 
@@ -10,7 +10,7 @@
 /// last, so older batches serve only nodes that come from another reader.
 const BATCHES_MAX: usize = 32;
 /// Upper bound on the bytes kept; the last batch is kept whatever its size.
-const BYTES_MAX: usize = 1_024 * 1_024;
+const BYTES_MAX: usize = 256 * 1_024;
 
 /// One answer of the store: the changes after one revision, up to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/state/mesh/readers.rs
+++ b/src/state/mesh/readers.rs
@@ -1,8 +1,8 @@
 //! Choice of the nodes that read the platform's store for their availability zone.
 //!
 //! Each node computes the choice from the servers that it knows, so nodes need no agreement. Where
-//! their views differ, a node that is asked without reading the store refuses, and the one that
-//! asked reads the store itself.
+//! their views differ, as at the start of a fleet, a node may ask one that asks another itself. Every
+//! node asks only nodes of a lower rank, so such chains end at one that reads the store.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -40,16 +40,16 @@
     zone: &ZoneName,
     servers: impl IntoIterator<Item = &'a Upstream>,
 ) -> Source {
+    let own_rank = rank(&[own]);
     let in_zone = servers.into_iter().filter(|s| s.zone == *zone);
-    let mut ranked: Vec<_> = in_zone.map(|s| (rank(&[s.peer]), s.peer)).collect();
-    if ranked.len() <= READERS_PER_ZONE {
+    let ranked = in_zone.map(|s| (rank(&[s.peer]), s.peer));
+    // Whether the node's own server is listed makes no difference.
+    let mut ranked: Vec<_> = ranked.filter(|(rank, _)| *rank < own_rank).collect();
+    if ranked.len() < READERS_PER_ZONE {
         return Source::Store;
     }
     ranked.select_nth_unstable(READERS_PER_ZONE - 1);
     ranked.truncate(READERS_PER_ZONE);
-    if ranked.iter().any(|(_, peer)| *peer == own) {
-        return Source::Store;
-    }
     let mut readers: Vec<_> = ranked.into_iter().map(|(_, peer)| peer).collect();
     readers.sort_by_cached_key(|peer| rank(&[own, *peer]));
     Source::Readers(readers)
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use thiserror::Error;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -136,6 +137,7 @@
                     self.record_recovery(at);
                     self.mesh.counters.set(Counter::ConfigReadTo, at.revision);
                     self.record_progress(at);
+                    self.mesh.relay.set_current(true);
                     self.is_rejoining = false;
                     revision = Some(at.revision);
                     backoff = BACKOFF_MIN_MS;
@@ -154,7 +156,7 @@
                 Err(FollowError::Read(PlatformError::Status(StatusCode::GONE))) => revision = None,
                 Err(error) => {
                     self.record_failure(&error);
-                    self.set_reading(false);
+                    self.mesh.relay.set_current(false);
                     self.is_rejoining = true;
                     let jitter = 0.5 + self.mesh.rng.borrow_mut().f64();
                     sleep(Duration::from_millis(backoff).mul_f64(jitter)).await;
@@ -225,7 +227,7 @@
         let started = Instant::now();
         let watch_time = self.watch_time();
         if !self.is_rejoining {
-            self.set_reading(true);
+            self.mesh.counters.set(Counter::ConfigReader, 1);
         }
         let timeout = watch_time + Duration::from_millis(WATCH_TIMEOUT_EXTRA_MS);
         let timeout = timeout.max(Duration::from_millis(PAGE_TIMEOUT_MS));
@@ -241,6 +243,11 @@
             return Ok(ReadResult::Restored);
         }
         let body = response.body.unwrap_or_default();
+        self.pass_on(body, from)
+    }
+
+    /// Applies the changes that follow a revision, and passes them on.
+    fn pass_on(&self, body: Bytes, from: u64) -> Result<ReadResult> {
         let (revision, changed) = self.apply_changes(&body, from)?;
         self.mesh.relay.push(Batch {
             from: self.at(from),
@@ -264,7 +271,7 @@
 
     /// Asks a reader for the changes after a revision.
     async fn ask(&mut self, reader: SocketAddr, from: u64) -> Result<ReadResult> {
-        self.set_reading(false);
+        self.mesh.counters.set(Counter::ConfigReader, 0);
         let at = self.at(from);
         let answer = tokio::select! {
             biased;
@@ -286,10 +293,8 @@
             return failed(RelayError::Unknown);
         }
         self.mesh.counters.add(Counter::ConfigReceived, 1);
-        match self.apply_changes(&body, from) {
-            Ok((revision, changed)) => Ok(ReadResult::UpTo { revision, changed }),
-            Err(error) => failed(RelayError::Broken(error.to_string())),
-        }
+        self.pass_on(body, from)
+            .or_else(|error| failed(RelayError::Broken(error.to_string())))
     }
 
     /// Applies the changes that follow a revision, and returns the revision that they reach and
@@ -310,13 +315,6 @@
         Ok((self.at(changes.revision.max(from)), has_items))
     }
 
-    fn set_reading(&self, is_reading: bool) {
-        self.mesh.relay.set_reading(is_reading);
-        self.mesh
-            .counters
-            .set(Counter::ConfigReader, is_reading.into());
-    }
-
     /// Asks another reader next. The store is read first if time was lost, or if no reader is left.
     fn replace_reader(&mut self, reader: SocketAddr, error: &RelayError) {
         self.mesh.counters.add(Counter::ConfigReaderFailed, 1);
@@ -324,6 +322,10 @@
         let now = Instant::now();
         self.readers.avoid(reader, now);
         self.is_rejoining = !error.is_refusal() || self.readers.reader(&self.mesh, now).is_none();
+        // Those that ask this node would rely on it until it has read the store.
+        if self.is_rejoining {
+            self.mesh.relay.set_current(false);
+        }
     }
 
     /// Applies one item; returns whether the record of a backend server changed.
--- a/src/transport/mesh/relay.rs
+++ b/src/transport/mesh/relay.rs
@@ -56,7 +56,7 @@
 #[derive(Debug, Default)]
 pub struct Relay {
     log: RefCell<ChangeLog>,
-    is_reading: Cell<bool>,
+    is_current: Cell<bool>,
     notify: Notify,
 }
 
@@ -67,15 +67,16 @@
         self.notify.notify_waiters();
     }
 
-    /// Passes on an answer of the store.
+    /// Passes on an answer of the store, or of another node.
     pub fn push(&self, batch: Batch) {
         self.log.borrow_mut().push(batch);
         self.notify.notify_waiters();
     }
 
-    /// Sets whether this node holds a watch at the store, without which it passes nothing on.
-    pub fn set_reading(&self, is_reading: bool) {
-        if self.is_reading.replace(is_reading) != is_reading {
+    /// Sets whether this node follows the store, by itself or through others. If not, it passes
+    /// nothing on.
+    pub fn set_current(&self, is_current: bool) {
+        if self.is_current.replace(is_current) != is_current {
             self.notify.notify_waiters();
         }
     }
@@ -98,9 +99,9 @@
     /// No answer within the time limit.
     #[error("could not get an answer of the reader within the time limit")]
     Timeout,
-    /// The node asked does not read the store.
-    #[error("could not get changes from the node asked: it does not read the store")]
-    NotReading,
+    /// The node asked does not follow the store at the moment.
+    #[error("could not get changes from the reader: it does not follow the store")]
+    NotCurrent,
     /// The reader does not know what follows the revision.
     #[error("could not get changes from the reader: it does not know this revision")]
     Unknown,
@@ -109,7 +110,7 @@
 impl RelayError {
     /// Whether no time was lost, so that another reader may be asked before the store.
     pub fn is_refusal(&self) -> bool {
-        matches!(self, Self::Unreachable(_) | Self::NotReading)
+        matches!(self, Self::Unreachable(_) | Self::NotCurrent)
     }
 }
 
@@ -190,7 +191,7 @@
         StatusCode::OK => {}
         StatusCode::NO_CONTENT => return Ok(Answer::UpToDate),
         StatusCode::GONE => return Err(RelayError::Unknown),
-        _ => return Err(RelayError::NotReading),
+        _ => return Err(RelayError::NotCurrent),
     }
     let to = read_required(&head.headers, header::AFTER);
     let to = to.map_err(|e| RelayError::Broken(e.to_string()))?;
@@ -222,7 +223,7 @@
         // Registered before the log is read, so that no change is missed between the two.
         let mut notified = std::pin::pin!(relay.notify.notified());
         notified.as_mut().enable();
-        if !relay.is_reading.get() || mesh.retiring.get() {
+        if !relay.is_current.get() || mesh.retiring.get() {
             return Ok(empty_response(StatusCode::SERVICE_UNAVAILABLE));
         }
         let found = relay.log.borrow().after(after);
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -76,6 +76,32 @@
     assert!(lists_compared > 1_000, "{lists_compared}");
 }
 
+/// Guards against nodes that ask each other in a circle, so that none of them reads the store, while
+/// each knows other servers. Tries all pairs of views of nodes that could ask each other.
+#[test]
+fn nodes_with_different_views_ask_in_one_direction() {
+    let members: Vec<u16> = (1..=14).filter(|n| n % 3 != 0).collect();
+    // For each node, the nodes that it asks with some view.
+    let mut asked = std::collections::BTreeMap::<_, BTreeSet<_>>::new();
+    for subset in 0_u32..1 << members.len() {
+        let view = members.iter().enumerate();
+        let view = view.filter(|(at, _)| subset >> at & 1 == 1);
+        let view: Vec<_> = view.map(|(_, n)| server(*n)).collect();
+        for n in &members {
+            if let Source::Readers(readers) = source_of(*n, &view) {
+                asked.entry(server(*n).peer).or_default().extend(readers);
+            }
+        }
+    }
+    let circle = asked.iter().find_map(|(node, readers)| {
+        let back = readers
+            .iter()
+            .find(|r| asked.get(r).is_some_and(|a| a.contains(node)));
+        back.map(|reader| (node, reader))
+    });
+    assert_eq!(circle, None);
+}
+
 /// Guards against readers of a large zone that get far more askers than others.
 #[test]
 fn nodes_spread_evenly_over_the_readers() {
