Read the store less often while a fleet starts

The pause after a list is the longest one, unless the node knows no routes and can serve nothing yet.

A report of a later epoch is acted on after 50 ms instead of 300 or 600 ms: no reader can pass on a restore, so there is nothing to wait for.

--- a/src/state/mesh/progress.rs
+++ b/src/state/mesh/progress.rs
@@ -17,9 +17,12 @@
 
 /// Shortest pause after a watch that returned changes.
 const PAUSE_MIN: Duration = Duration::from_millis(50);
+/// Pause while the node knows no routes and can serve nothing.
+pub const PAUSE_WITHOUT_ROUTES: Duration = Duration::from_millis(50);
 /// Longest pause while changes come in quick succession, as when a fleet starts: a quarter of the
-/// time within which nodes have to stop sending requests to a draining server.
-const PAUSE_MAX: Duration = Duration::from_millis(500);
+/// time within which nodes have to stop sending requests to a draining server. Also the pause after
+/// a list, as many nodes list the store when their fleet starts.
+pub const PAUSE_MAX: Duration = Duration::from_millis(500);
 
 /// Revisions of the store known to a node.
 #[derive(Debug, Default)]
@@ -68,6 +71,11 @@
         self.behind_since
     }
 
+    /// Whether another node knows of a restore of the store that this one does not.
+    pub fn has_old_epoch(&self) -> bool {
+        self.reported.epoch > self.read.epoch
+    }
+
     /// Revision of the latest item that was read, for the report to other nodes.
     pub fn latest(&self) -> StoreRevision {
         self.latest_item
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -41,6 +41,8 @@
 const CATCH_UP_MS: u64 = 300;
 /// The same for changes that a reader passes on: it may be in its longest pause between two watches.
 const READER_CATCH_UP_MS: u64 = 600;
+/// The same after a report of a restore of the store, which no reader can pass on.
+const EPOCH_CATCH_UP_MS: u64 = 50;
 /// Longest watch of a node that reads the store only because all readers of its zone have failed.
 const SUBSTITUTE_WATCH: Duration = Duration::from_secs(3);
 /// Shortest time for which a watch can wait.
@@ -124,6 +126,7 @@
                 true => None,
                 false => self.readers.reader(&self.mesh, started),
             };
+            let is_list = revision.is_none();
             let result = match (revision, reader) {
                 (None, _) => self.list().await,
                 (Some(from), None) => self.watch(from).await,
@@ -142,7 +145,7 @@
                     revision = Some(at.revision);
                     backoff = BACKOFF_MIN_MS;
                     if changed && reader.is_none() {
-                        pause = progress::watch_pause(pause, started.elapsed());
+                        pause = self.pause(pause, is_list, started.elapsed());
                         sleep(pause).await;
                     }
                 }
@@ -409,6 +412,17 @@
         }
     }
 
+    /// Pause after a read that returned changes and lasted `lasted`; `last` is the pause before it.
+    fn pause(&self, last: Duration, is_list: bool, lasted: Duration) -> Duration {
+        if self.mesh.routes.borrow().is_none() {
+            return progress::PAUSE_WITHOUT_ROUTES;
+        }
+        match is_list {
+            true => progress::PAUSE_MAX,
+            false => progress::watch_pause(last, lasted),
+        }
+    }
+
     fn record_progress(&self, at: StoreRevision) {
         let mut progress = self.mesh.progress.borrow_mut();
         match self.is_rejoining {
@@ -474,6 +488,10 @@
             continue;
         };
         let since = started.map_or(since, |started| since.max(started));
+        let catch_up_ms = match mesh.progress.borrow().has_old_epoch() {
+            true => EPOCH_CATCH_UP_MS,
+            false => catch_up_ms,
+        };
         sleep_until(since + Duration::from_millis(catch_up_ms)).await;
         if behind_since().is_some() {
             return;
