Review: rolling stops cut requests at which the server is at work

A node that stops admits a request whose deadline lies beyond its end if the longest recent one of its class would end in time. A longer one is cut (rule LOST).

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod node;
 mod poison;
 mod record;
+mod roll;
 mod server;
 mod slow;
 mod store;
@@ -26,6 +27,7 @@
     let result = match case.as_str() {
         "poison" => poison::run(&folder, has_trouble),
         "stop" => clumps::stop(&folder, has_trouble),
+        "roll" => roll::run(&folder, has_trouble),
         "slow" => slow::run(&folder, has_trouble),
         "drain" => clumps::drain(&folder, has_trouble),
         other => Err(format!("there is no case {other}").into()),
