Review: show the slow readers with shorter answers and time limits

Cause: the first form of review/3 needed a route with a timeout of 15 s and 60 readers, which the small sites don't have.

Change: 30 readers of 10 MB with the site's time limit of 6 s.

--- a/review/standin/slow.rs
+++ b/review/standin/slow.rs
@@ -25,7 +25,7 @@
 const HOST: &str = "shop.example";
 const CONFIG: &str = r#"{"version":"r7","routes":{
 "order":{"hostname":"shop.example","path_prefix":"/order/","route_type":"non_idempotent","timeout_s":6.0,"target_latency_s":2.0,"attempts":2,"priority":0,"service":"catalogo"},
-"browse":{"hostname":"shop.example","path_prefix":"/browse/","route_type":"idempotent","timeout_s":15.0,"target_latency_s":2.0,"attempts":2,"priority":1,"service":"catalogo"}},
+"browse":{"hostname":"shop.example","path_prefix":"/browse/","route_type":"idempotent","timeout_s":6.0,"target_latency_s":2.0,"attempts":2,"priority":1,"service":"catalogo"}},
 "services":{"catalogo":{"max_connections":532,"health_path":"/health"},"encomendas":{"max_connections":556,"health_path":"/health"}},
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_s":5.0,"idle_timeout_s":20.0}}"#;
 /// `stable_window_s`, `grace_s` and `loss_slack_s` of the settings.
@@ -34,10 +34,10 @@
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// Time limits of the callers that order, and of those that read pages.
 const LIMIT: Duration = Duration::from_secs(6);
-const READ_LIMIT: Duration = Duration::from_secs(15);
+const READ_LIMIT: Duration = Duration::from_secs(6);
 /// Callers that read slowly, and the size of the answers that they read.
-const READERS: usize = 60;
-const ANSWER_BYTES: usize = 24 * 1_024 * 1_024;
+const READERS: usize = 30;
+const ANSWER_BYTES: usize = 10 * 1_024 * 1_024;
 /// What a slow caller reads at a time, and the pause in between.
 const PIECE_BYTES: usize = 2_048;
 const PAUSE: Duration = Duration::from_millis(200);
@@ -88,7 +88,7 @@
         let record = record.clone();
         callers.push(thread::spawn(move || read_slowly(&record, site, n)));
     }
-    thread::sleep(Duration::from_secs(4));
+    thread::sleep(Duration::from_millis(200));
     let stopped = record.now();
     if has_trouble {
         let pid = nodes[CHOSEN].child.id().to_string();
@@ -96,13 +96,14 @@
         Command::new("kill").args(["-TERM", &pid]).status()?;
     }
     // The platform still sends callers: it learns from two misses a second apart.
+    thread::sleep(Duration::from_millis(1_200));
     for group in 0..3 {
-        thread::sleep(Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(300));
         let path = |n| format!("/order/after-{group}-{n}");
         callers.extend((0..10).map(|n| order(&record, site, path(n))));
     }
     // The platform kills a process that is still there at the end of the grace period.
-    thread::sleep(GRACE - Duration::from_millis(1_500));
+    thread::sleep(GRACE - Duration::from_millis(2_100));
     if has_trouble && let Ok(None) = nodes[CHOSEN].child.try_wait() {
         record.note(format!("SIGKILL to node {CHOSEN}"));
         nodes[CHOSEN].child.kill()?;
