Review: send the clumps at even intervals

Cause: clumps at uneven times could pass for a burst, and with 50 requests a pool was not always full (9 to 50 requests cut).

Change: review/1 sends 60 requests each 2 s, review/5 60 each 2.5 s.

--- a/review/standin/clumps.rs
+++ b/review/standin/clumps.rs
@@ -41,7 +41,7 @@
 /// Time limit of the callers.
 const LIMIT: Duration = Duration::from_secs(6);
 /// Requests of one clump at each machine; a server has 76 slots.
-const CLUMP: usize = 50;
+const CLUMP: usize = 60;
 const SLOTS: u32 = 76;
 
 /// Work of 290 ms on average.
@@ -140,19 +140,19 @@
 pub fn stop(folder: &Path, has_trouble: bool) -> Result<bool, Box<dyn Error>> {
     let mut run = Run::start("stop", Duration::from_secs(10))?;
     run.clump(1);
-    thread::sleep(Duration::from_millis(1_500));
+    thread::sleep(Duration::from_secs(2));
     run.clump(2);
-    thread::sleep(Duration::from_millis(1_100));
+    thread::sleep(Duration::from_millis(1_400));
     let stopped = run.record.now();
     if has_trouble {
         let pid = run.nodes[CHOSEN].child.id().to_string();
         run.record.note(format!("SIGTERM to node {CHOSEN}"));
         Command::new("kill").args(["-TERM", &pid]).status()?;
     }
-    thread::sleep(Duration::from_millis(900));
+    thread::sleep(Duration::from_millis(600));
     run.clump(3);
     // The platform kills a process that is still there at the end of the grace period.
-    thread::sleep(GRACE - Duration::from_millis(900));
+    thread::sleep(GRACE - Duration::from_millis(600));
     if has_trouble && let Ok(None) = run.nodes[CHOSEN].child.try_wait() {
         run.record.note(format!("SIGKILL to node {CHOSEN}"));
         run.nodes[CHOSEN].child.kill()?;
@@ -187,9 +187,9 @@
 pub fn drain(folder: &Path, has_trouble: bool) -> Result<bool, Box<dyn Error>> {
     let mut run = Run::start("drain", Duration::from_secs(10))?;
     run.clump(1);
-    thread::sleep(Duration::from_millis(1_500));
+    thread::sleep(Duration::from_millis(2_500));
     run.clump(2);
-    thread::sleep(Duration::from_millis(3_500));
+    thread::sleep(Duration::from_millis(2_500));
     run.clump(3);
     thread::sleep(Duration::from_millis(200));
     let mut acked = None;
