--- a/review/build.sh
+++ b/review/build.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 rustc --edition 2024 -O -o target/review/stand review/standin/main.rs
+rustc --edition 2024 -O -o target/review/harness review/harness/main.rs
