--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -2,7 +2,6 @@
 //! processes on loopback. It exits with 1 if the rule was broken, 0 if it held and 2 if the case
 //! could not run. With TROUBLE=0 in the environment, the disruption is left out.
 
-mod crashing;
 mod fleet;
 mod http;
 mod leaving;
@@ -60,7 +59,6 @@
     });
     let node = Path::new(node);
     let result = match case.as_str() {
-        "crashing" => crashing::run(node, &record, trouble),
         "leaving" => leaving::run(node, &record, trouble),
         "silent" => silent::run(node, &record, trouble),
         "long-head" => long_head::run(node, &record, trouble),
--- a/review/harness/server.rs
+++ b/review/harness/server.rs
@@ -13,12 +13,6 @@
 
 use crate::{http, record::Record, store::Store};
 
-/// Path segment of requests that crash each server which begins to run them.
-pub const CRASHING: &str = "/crash";
-/// Time from a crash until the server is back.
-pub const DOWN: Duration = Duration::from_secs(2);
-/// Silence after which the store removes an entry: three heartbeat intervals of 1.5 s.
-const LAPSE: Duration = Duration::from_millis(4_500);
 pub const SLOTS: u32 = 16;
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -149,23 +143,6 @@
         self.begin()
     }
 
-    /// Crashes: the entry stays until it lapses, and the server is back some seconds later with a
-    /// new id.
-    fn crash(&self) {
-        let id = self.end();
-        let server = self.clone();
-        thread::spawn(move || {
-            thread::sleep(DOWN);
-            if let Err(error) = server.begin() {
-                server
-                    .record
-                    .line(&format!("server {id} could not start again: {error}"));
-            }
-            thread::sleep(LAPSE - DOWN);
-            server.store.remove(&format!("servers/{id}"));
-        });
-    }
-
     fn serve(&self, mut conn: TcpStream, is_up: &AtomicBool) {
         let id = self.id();
         while let Ok(Some(request)) = http::read(&mut conn) {
@@ -200,14 +177,6 @@
             return http::write(conn, "HTTP/1.1 421 Misdirected Request", &headers, b"");
         }
         self.record.run(&self.service, id, &attempt, target);
-        if target.contains(CRASHING) {
-            self.record.line(&format!(
-                "server {id} of {} crashes on {attempt}",
-                self.service
-            ));
-            self.crash();
-            return Err(std::io::ErrorKind::ConnectionAborted.into());
-        }
         thread::sleep(Duration::from_millis(20));
         let seal = format!("{id}.{attempt}");
         let headers = [
