Review: send some other requests while the watches are silent

Cause: the case had no traffic at all beside the requests that it judges. Change: clients of all machines send two requests a second on another route.

--- a/review/harness/silent.rs
+++ b/review/harness/silent.rs
@@ -5,26 +5,38 @@
 use crate::{
     LAYOUT,
     fleet::{CONFIG_S, Fleet, Result, STABLE_WINDOW_S, route},
-    record::{Record, seconds, wait_until},
+    record::{Record, seconds},
 };
 
 const ROUNDS: usize = 4;
+/// Pause between two requests of clients, over the whole fleet.
+const PAUSE_S: f64 = 0.5;
 
 pub fn run(node: &Path, record: &Record, trouble: bool) -> Result<usize> {
-    let routes = |service: &str| route("r-browse", "/browse/", "idempotent", service, 2);
+    let routes = |service: &str| {
+        let moved = route("r-browse", "/browse/", "idempotent", service, 2);
+        let steady = route("r-place", "/place/", "non_idempotent", "encomendas", 2);
+        format!("{moved},{steady}")
+    };
+    let mut sent = 0;
     let mut now = "catalogo";
     let mut fleet = Fleet::start(node, record, &LAYOUT, &routes(now))?;
     let mut broken = 0;
     for round in 1..=ROUNDS {
-        thread::sleep(seconds(5.0));
-        // All nodes have the configuration, and the fleet is quiet.
+        sent = send_until(&fleet, record, sent, Instant::now() + seconds(5.0));
+        // All nodes have the configuration.
         if trouble {
             record.line("trouble  open connections to the store go silent; new ones work");
             fleet.store.silence();
         }
         let silent_at = Instant::now();
         // From here on, all machines are in touch again.
-        wait_until(silent_at + seconds(STABLE_WINDOW_S + 0.5));
+        sent = send_until(
+            &fleet,
+            record,
+            sent,
+            silent_at + seconds(STABLE_WINDOW_S + 0.5),
+        );
         let old = now;
         now = if old == "catalogo" {
             "oficina"
@@ -32,7 +44,7 @@
             "catalogo"
         };
         let (version, acked) = fleet.configure(&routes(now));
-        wait_until(acked + seconds(CONFIG_S + 0.2));
+        sent = send_until(&fleet, record, sent, acked + seconds(CONFIG_S + 0.2));
         let late: Vec<_> = thread::scope(|scope| {
             let machines = fleet.machines.iter();
             let sent = machines.map(|m| {
@@ -69,3 +81,19 @@
     }
     Ok(broken)
 }
+
+/// Sends requests of clients of all machines in turn, `PAUSE_S` apart, until a moment. `sent` is the
+/// number sent before; returns the new one.
+fn send_until(fleet: &Fleet, record: &Record, mut sent: usize, until: Instant) -> usize {
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        thread::sleep(left.min(seconds(PAUSE_S)));
+        if left <= seconds(PAUSE_S) {
+            return sent;
+        }
+        // A step that visits all machines, neighbours far apart.
+        let machine = &fleet.machines[sent * 5 % fleet.machines.len()];
+        machine.send(record, "POST", "/place/order", b"order", seconds(2.0));
+        sent += 1;
+    }
+}
