Pool: make room for a call when idle connections that it can't use fill the limit

Cause: connections that have been idle for longer than a call may use them, 1 s for requests that are not idempotent, stay open until 15 s and counted against the limit of slots + 16. Two clumps more than 1 s apart filled it, and the third waited, with its permit of the gate, for connections that nobody was going to return.

At the limit, such a call now closes the connection that has been idle for longest and opens a new one. Calls that wait and connections closed so are counted.

Cost: one new connection for each one closed; no more are open than before.

--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -110,6 +110,8 @@
     ServerLeaving "server.leaving" "flag" Gauge "1 after the backend server has announced that it leaves.",
     ServerMalformed "server.malformed" "answers" Total "Answers of the backend server with a header that could not be read.",
     ServerConnections "server.connections" "connections" Gauge "Connections open to the backend server.",
+    ServerConnectionsWaiting "server.connections-waiting" "calls" Gauge "Admitted calls that wait for a connection to the backend server.",
+    ServerConnectionsEvicted "server.connections-evicted" "connections" Total "Idle connections closed because the limit was reached and a call could use none of them.",
     SuspectsAdded "suspects.added" "requests" Total "Requests marked as suspects.",
     SuspectsCleared "suspects.cleared" "requests" Total "Suspects cleared by a complete answer.",
     SuspectsConvicted "suspects.convicted" "requests" Total "Suspects convicted of crashing the backend server.",
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -339,6 +339,11 @@
         (Counter::GateQueued, load.queued.into()),
         (Counter::GateLimit, load.limit.into()),
         (Counter::ServerConnections, mesh.pool.open().into()),
+        (
+            Counter::ServerConnectionsWaiting,
+            mesh.pool.waiting().into(),
+        ),
+        (Counter::ServerConnectionsEvicted, mesh.pool.evicted()),
         (Counter::UpstreamsKnown, mesh.registry.borrow().len() as u64),
     ];
     for (counter, value) in gauges {
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -100,11 +100,14 @@
 }
 
 struct Shared<N: Net> {
+    /// The connection that has been idle for longest comes first.
     idle: RefCell<Vec<Idle<N>>>,
     open: Cell<u32>,
     limit: Cell<u32>,
     available: Notify,
     failures: RefCell<Vec<Instant>>,
+    evicted: Cell<u64>,
+    waiting: Cell<u32>,
 }
 
 impl<N: Net> Shared<N> {
@@ -115,6 +118,8 @@
             limit: Cell::default(),
             available: Notify::new(),
             failures: RefCell::default(),
+            evicted: Cell::default(),
+            waiting: Cell::default(),
         }
     }
 
@@ -136,6 +141,19 @@
         }
     }
 
+    /// Closes the connection that has been idle for longest; returns whether there was one.
+    fn close_oldest_idle(&self) -> bool {
+        let mut all = self.idle.borrow_mut();
+        if all.is_empty() {
+            return false;
+        }
+        let oldest = all.remove(0);
+        drop(all);
+        drop(oldest);
+        self.evicted.set(self.evicted.get() + 1);
+        true
+    }
+
     /// Closes the idle connections that have ended, or have been idle for longer than `max_idle`.
     fn prune(&self, max_idle: Duration) {
         let now = Instant::now();
@@ -168,6 +186,22 @@
     }
 }
 
+/// Counts one call that waits for a connection until it is dropped.
+struct WaitingGuard<'a>(&'a Cell<u32>);
+
+impl<'a> WaitingGuard<'a> {
+    fn start<N: Net>(shared: &'a Shared<N>) -> Self {
+        shared.waiting.set(shared.waiting.get() + 1);
+        Self(&shared.waiting)
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A connection in use by one call; closed on drop unless [`Lease::reuse`] is called.
 pub struct Lease<N: Net> {
     conn: Conn<N>,
@@ -290,7 +324,17 @@
         self.shared.open.get()
     }
 
-    /// A connection for one call; waits while the limit is reached and none is idle.
+    /// Number of calls that wait for a connection because the limit is reached.
+    pub fn waiting(&self) -> u32 {
+        self.shared.waiting.get()
+    }
+
+    /// Number of idle connections closed to make room for a call that could use none of them.
+    pub fn evicted(&self) -> u64 {
+        self.shared.evicted.get()
+    }
+
+    /// A connection for one call; waits while the limit is reached and all connections are in use.
     ///
     /// # Errors
     /// The server can't be reached.
@@ -300,7 +344,7 @@
     }
 
     /// A connection for one call with the attempt ID `id`, either new or idle for at most
-    /// `max_idle`.
+    /// `max_idle`. At the limit, an idle connection that the call can't use makes room for a new one.
     ///
     /// # Errors
     /// The server can't be reached.
@@ -318,6 +362,12 @@
             if let Some(guard) = ConnectionGuard::acquire(&self.shared) {
                 return self.dial(guard).await;
             }
+            // No idle connection that is left can carry this call, but each counts against the
+            // limit. Only connections in use are worth waiting for.
+            if self.shared.close_oldest_idle() {
+                continue;
+            }
+            let _waiting = WaitingGuard::start(&self.shared);
             self.shared.available.notified().await;
         }
     }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -172,3 +172,62 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a call that waits for a connection although the server is idle: connections that
+/// have been idle for too long to be used count against the limit.
+#[tokio::test(start_paused = true)]
+async fn idle_connections_that_are_too_old_make_room() {
+    let test = async {
+        let max_idle = Duration::from_secs(1);
+        for limit in [4, 2] {
+            let net = PipeNet::default();
+            let pool = net.pool();
+            for lease in [(); 4].map(|()| pool.lease().now_or_never()) {
+                lease.expect("there is room").expect("a connection").reuse();
+            }
+            // Two rounds, so that the second finds the limit reached by connections of both ages.
+            for _ in 0..2 {
+                pool.resize(limit);
+                sleep(Duration::from_secs(2)).await;
+                let leases: Vec<_> = (0..limit)
+                    .map(|_| pool.lease_idle(max_idle, None).now_or_never())
+                    .collect();
+                assert!(leases.iter().all(Option::is_some), "a call waits");
+                assert_eq!(pool.open(), limit, "connections of a server with {limit}");
+                for lease in leases {
+                    lease.expect("no wait").expect("a connection").reuse();
+                }
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a connection in use, or one that a call can use, which is closed to make room.
+#[tokio::test(start_paused = true)]
+async fn only_idle_connections_that_are_too_old_make_room() {
+    let test = async {
+        let max_idle = Duration::from_secs(1);
+        let net = PipeNet::default();
+        let pool = net.pool();
+        let in_use = pool.lease().await.expect("a connection");
+        for lease in [(); 3].map(|()| pool.lease().now_or_never()) {
+            lease.expect("there is room").expect("a connection").reuse();
+        }
+        let opened = net.0.borrow().len();
+        let recent: Vec<_> = (0..3)
+            .map(|_| pool.lease_idle(max_idle, None).now_or_never())
+            .collect();
+        assert!(recent.iter().all(Option::is_some), "a call waits");
+        assert_eq!(net.0.borrow().len(), opened, "a connection was opened");
+        assert_eq!(pool.evicted(), 0);
+        let mut waiting = Box::pin(pool.lease_idle(max_idle, None));
+        assert!((&mut waiting).now_or_never().is_none(), "above the limit");
+        assert_eq!(pool.waiting(), 1);
+        in_use.reuse();
+        waiting.await.expect("the connection that was returned");
+        assert_eq!((pool.waiting(), pool.evicted()), (0, 0));
+        assert_eq!(net.0.borrow().len(), opened, "a connection was opened");
+    };
+    LocalSet::new().run_until(test).await;
+}
