Gate: admit by the deadline alone once a stopping node refuses callers

Cause: a stopping node admitted a call if the longest recent one of its class, with a margin, would end in time. That is an estimate; a request that is longer than those before it was started and cut.

The estimate now counts only in the first 2.3 s, in which callers still arrive and a call has 3.3 s at least. After that a call is admitted only if its deadline comes before the end, and refused unsent otherwise.

Cost: the last server of a service is refused to requests with a later deadline from 2.3 s after the signal on. Its node ends once the admitted ones have ended: outage_of_the_last_server_is_short demands at most 3.9 s after the signal with works of 1.3 s.

Tests that asked for the estimate until the end were wrong with that invariant, and are replaced: - outage_of_the_last_server_is_short demanded a gap of at most 300 ms for short requests with a limit of 1.5 s. It demands at most that limit for all (1.8 s before for long ones), and with a limit of 4 s at most the longest work, and an early end of the node. - last_server_... had two requests that the estimate admitted late. One has a limit now that ends in time, the other must be refused, and a third is longer than all before it. - stopping_node_serves_other_nodes_while_a_caller_reads: limit of 750 ms instead of 1 s, which for the last of six requests ended 0.2 s after the time by which requests must have ended. - timed_out_requests_count_in_the_longest_duration and call_queued_at_the_end_of_a_stop_is_refused_as_not_run moved into the first 2.3 s, where what they guard decides; the latter keeps its late request.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -241,13 +241,16 @@
     }
 
     /// Sets the time by which running calls must have ended because the process stops. From now on,
-    /// calls that may take longer are refused.
-    pub fn set_stop(&self, stop_at: Instant) {
-        self.core.borrow_mut().set_stop(stop_at);
+    /// calls that may take longer are refused: until `estimates_until` by the durations of recent
+    /// calls of their class, then by their deadline alone.
+    pub fn set_stop(&self, stop_at: Instant, estimates_until: Instant) {
+        let mut core = self.core.borrow_mut();
+        core.set_stop(stop_at, estimates_until);
+        drop(core);
         self.dispatch();
     }
 
-    /// Whether a call of a class that starts now ends before the process stops.
+    /// Whether a call of a class that starts now is allowed to, if the process is to stop.
     pub fn can_finish(&self, class: &ClassName, deadline: Instant) -> bool {
         let core = self.core.borrow();
         core.can_finish(class, deadline, Instant::now())
--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -57,8 +57,8 @@
     control: Control,
     rng: fastrand::Rng,
     state: GateState,
-    /// Time by which running calls must have ended, once the process is to stop.
-    stop_at: Option<Instant>,
+    /// Set once the process is to stop.
+    stop: Option<limits::Stop>,
     down: bool,
     slots: u32,
     limiter: Limiter,
@@ -93,7 +93,7 @@
             control,
             rng,
             state: GateState::Starting,
-            stop_at: None,
+            stop: None,
             down: false,
             slots,
             limiter: Limiter::new(slots, now),
--- a/src/coordination/gate/core/limits.rs
+++ b/src/coordination/gate/core/limits.rs
@@ -17,6 +17,33 @@
 /// Weight of a new sample in the smoothed duration of the calls.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
+/// Bounds on the calls that are admitted before the process stops.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Stop {
+    /// Time by which running calls must have ended.
+    at: Instant,
+    /// Time until which the durations of recent calls may vouch for a call; later only its deadline
+    /// does.
+    estimates_until: Instant,
+}
+
+impl Stop {
+    /// Whether a call that starts now ends in time. Its deadline is the only bound that holds for
+    /// every call. Early in a stop, a call that lasts longer than expected has time left, so the
+    /// longest duration of recent calls counts as well.
+    pub(super) fn allows(
+        &self,
+        deadline: Instant,
+        max_duration: impl FnOnce() -> Option<Duration>,
+        now: Instant,
+    ) -> bool {
+        if deadline <= self.at {
+            return true;
+        }
+        now < self.estimates_until && max_duration().is_some_and(|max| now + max <= self.at)
+    }
+}
+
 impl Core {
     pub(in super::super) fn load(&self) -> Load {
         Load {
@@ -57,23 +84,23 @@
         }
     }
 
-    pub(in super::super) fn set_stop(&mut self, stop_at: Instant) {
-        self.stop_at = Some(stop_at);
+    pub(in super::super) fn set_stop(&mut self, at: Instant, estimates_until: Instant) {
+        self.stop = Some(Stop {
+            at,
+            estimates_until,
+        });
     }
 
-    /// Whether a call that starts now ends before the process stops: it reaches its deadline before
-    /// that, or calls of its class are known to end in time.
+    /// Whether a call that starts now ends before the process stops.
     pub(in super::super) fn can_finish(
         &self,
         class: &ClassName,
         deadline: Instant,
         now: Instant,
     ) -> bool {
-        let Some(stop_at) = self.stop_at.filter(|at| deadline > *at) else {
-            return true;
-        };
-        let max = self.classes.max_duration(class, now);
-        max.is_some_and(|max| now + max <= stop_at)
+        let max_duration = || self.classes.max_duration(class, now);
+        self.stop
+            .is_none_or(|stop| stop.allows(deadline, max_duration, now))
     }
 
     pub(super) fn has_room(&self, now: Instant) -> bool {
--- a/src/coordination/gate/core/refuse.rs
+++ b/src/coordination/gate/core/refuse.rs
@@ -3,7 +3,7 @@
 use tokio::time::Instant;
 
 use super::{
-    super::{Refusal, RefusalReason},
+    super::{AdmissionRequest, Refusal, RefusalReason},
     Core, QueuedCall, Refusals, Reply,
 };
 use crate::state::priority::Priority;
@@ -58,13 +58,15 @@
 
     /// Refuses the queued calls that can't end any more before the process stops.
     pub(super) fn refuse_unfinishable(&mut self, now: Instant) -> Refusals {
-        let Some(stop_at) = self.stop_at else {
+        let Some(stop) = self.stop else {
             return Vec::new();
         };
         let classes = &self.classes;
         let is_late = |c: &QueuedCall| {
-            let max = classes.max_duration(&c.request.class, now);
-            c.request.deadline > stop_at && max.is_none_or(|max| now + max > stop_at)
+            let AdmissionRequest {
+                class, deadline, ..
+            } = &c.request;
+            !stop.allows(*deadline, || classes.max_duration(class, now), now)
         };
         let mut late = self.queue.extract_if(is_late);
         late.extend(self.suspect_queue.extract_if(is_late));
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -172,8 +172,9 @@
 ///
 /// First the node reports that it is not ready, so that callers go elsewhere. Other nodes avoid it
 /// once a response reports that it is retiring, but no other node can reach the backend server, so
-/// their requests are served as long as they are sure to end before the process does. The outbound
-/// listener closes last, because the backend server's own calls also arrive there.
+/// it goes on to serve them. After the notice, it admits only requests whose deadline comes before
+/// its end: the history of a class does not bound the next request. The outbound listener closes
+/// last, because the backend server's own calls also arrive there.
 async fn drain<N: Net, D>(mesh: &Mesh<N, D>, callers: &ListenerTasks, peers: &ListenerTasks) {
     // The signal may have arrived while the process was paused.
     let tick_due = mesh.tick_due.get() + Duration::from_millis(TICK_MS);
@@ -185,9 +186,10 @@
     mesh.retiring.set(true);
     mesh.relay.wake();
     mesh.stop_end.set(Some(grace_end));
-    mesh.gate.set_stop(finish_at);
-    let notice = Duration::from_millis(READY_NOTICE_MS);
-    sleep_until(started + notice.min(grace.mul_f64(READY_NOTICE_SHARE))).await;
+    let notice = Duration::from_millis(READY_NOTICE_MS).min(grace.mul_f64(READY_NOTICE_SHARE));
+    let notice_end = started + notice;
+    mesh.gate.set_stop(finish_at, notice_end);
+    sleep_until(notice_end).await;
     mesh.refusing_callers.set(true);
     wait_idle(mesh, finish_at).await;
     mesh.closing.set(true);
--- a/tests/review.rs
+++ b/tests/review.rs
@@ -117,12 +117,15 @@
         sleep(Duration::from_millis(50)).await;
         let stopped = Instant::now();
         fleet.pairs["deep-0"].stop.cancel();
-        sleep_until(stopped + Duration::from_millis(4_500)).await;
-        let headers = [("x-id", "q"), ("x-left", "9000"), ("x-work", "0")];
-        let answer = fleet.post("front-0", "/outer/", &headers).await.unwrap();
-        assert!(fleet.runs_of("q.1").is_empty());
-        let at = stopped.elapsed();
-        assert_eq!(answer.body, "503", "{at:?} after the signal");
+        // The first is in the queue when the notice ends, the second comes late in the stop.
+        for (id, after_ms) in [("q", 2_000), ("r", 4_500)] {
+            sleep_until(stopped + Duration::from_millis(after_ms)).await;
+            let headers = [("x-id", id), ("x-left", "9000"), ("x-work", "0")];
+            let answer = fleet.post("front-0", "/outer/", &headers).await.unwrap();
+            assert!(fleet.runs_of(&format!("{id}.1")).is_empty());
+            let at = stopped.elapsed();
+            assert_eq!(answer.body, "503", "{at:?} after the signal");
+        }
     })
     .await;
 }
@@ -170,14 +173,19 @@
 
 type Starts = Rc<RefCell<Vec<(bool, u128)>>>;
 
-/// Guards against a last server that a stop makes unreachable for longer than its requests last.
-#[tokio::test(start_paused = true)]
-async fn outage_of_the_last_server_is_short() {
+/// Work of the requests to a last server, and the time for which its connections may stay open.
+const LONG_WORK_MS: u128 = 1_300;
+const LINGER_MAX_MS: u128 = 300;
+
+/// Stops the node of the last server of a service, whose requests may take `limit_ms` and are short
+/// or long; returns when the node ends after the signal, and for how long before its end no short
+/// and no long request has been served.
+async fn outage_of_the_last_server(limit_ms: u64) -> (u128, [u128; 2]) {
     local(async {
         let mut short = route("short", "deep");
-        short.timeout = Duration::from_millis(1_500);
+        short.timeout = Duration::from_millis(limit_ms);
         let mut long = route("long", "deep");
-        long.timeout = Duration::from_millis(1_500);
+        long.timeout = Duration::from_millis(limit_ms);
         let services = [("front", 1, 400), ("deep", 1, 400)];
         let mut fleet = MeshFleet::with(&services, vec![short, long], worker()).await;
         let ip = fleet.pairs["front-0"].entry.address.ip();
@@ -189,7 +197,7 @@
             tasks.push(tokio::task::spawn_local(async move {
                 sleep_until(began + Duration::from_millis(n * 25)).await;
                 let is_long = n % 4 == 0;
-                let work = if is_long { "1300" } else { "50" };
+                let work = if is_long { LONG_WORK_MS } else { 50 }.to_string();
                 let at = began.elapsed().as_millis();
                 let path = if is_long { "/long/" } else { "/short/" };
                 let request = Request::post(path)
@@ -219,14 +227,24 @@
                 .max()
         };
         let gap = |long| 6_000 + ended - last(long).unwrap();
-        println!(
-            "node ends {ended} ms after the signal; gap until then: short {} ms, long {} ms",
-            gap(false),
-            gap(true)
-        );
-        assert!(gap(false) <= 300 && gap(true) <= 1_800);
+        (ended, [gap(false), gap(true)])
     })
-    .await;
+    .await
+}
+
+/// Guards against a last server that a stop makes unreachable for longer than its requests may last,
+/// and against a stop that goes on although nothing more is admitted.
+#[tokio::test(start_paused = true)]
+async fn outage_of_the_last_server_is_short() {
+    let (ended, gaps) = outage_of_the_last_server(1_500).await;
+    let what = format!("node ends {ended} ms after the signal, gaps until then {gaps:?}");
+    assert!(gaps.iter().all(|gap| *gap <= 1_500), "{what}");
+    // Nothing with a later deadline than the end is admitted after the notice.
+    let (ended, gaps) = outage_of_the_last_server(4_000).await;
+    let what = format!("node ends {ended} ms after the signal, gaps until then {gaps:?}");
+    let longest = LONG_WORK_MS + LINGER_MAX_MS;
+    assert!(gaps.iter().all(|gap| *gap <= longest), "{what}");
+    assert!(ended <= 2_300 + longest, "{what}");
 }
 
 fn admission() -> AdmissionRequest {
@@ -347,40 +365,23 @@
 async fn timed_out_requests_count_in_the_longest_duration() {
     local(async {
         let mut class = route("a", "deep");
-        class.timeout = Duration::from_millis(1_500);
+        class.timeout = Duration::from_secs(4);
         let services = [("front", 1, 40), ("deep", 1, 40)];
-        let mut keep = route("keep", "deep");
-        keep.timeout = Duration::from_secs(4);
-        let fleet = MeshFleet::with(&services, vec![class, keep], worker()).await;
+        let fleet = MeshFleet::with(&services, vec![class], worker()).await;
         for n in 0..40 {
             let id = format!("before-{n}");
-            let work = if n % 4 == 0 { "2000" } else { "100" };
-            let headers = [("x-id", id.as_str()), ("x-left", "4000"), ("x-work", work)];
+            let work = if n % 4 == 0 { "4500" } else { "100" };
+            let headers = [("x-id", id.as_str()), ("x-left", "5000"), ("x-work", work)];
             fleet.post("front-0", "/a/", &headers).await.unwrap();
         }
         let stopped = Instant::now();
         fleet.pairs["deep-0"].stop.cancel();
-        let keeps = async {
-            sleep_until(stopped + Duration::from_millis(1_300)).await;
-            let headers = [("x-id", "k"), ("x-left", "4000"), ("x-work", "3950")];
-            fleet.post("front-0", "/keep/", &headers).await.unwrap();
-        };
-        let late = async {
-            sleep_until(stopped + Duration::from_millis(4_800)).await;
-            let headers = [("x-id", "late"), ("x-left", "4000"), ("x-work", "1300")];
-            let answer = fleet.post("front-0", "/a/", &headers).await.unwrap();
-            (
-                answer.status,
-                fleet.runs_of("late").len(),
-                stopped.elapsed(),
-            )
-        };
-        let ((), late) = tokio::join!(keeps, late);
-        assert_eq!(
-            (late.0, late.1),
-            (StatusCode::SERVICE_UNAVAILABLE, 0),
-            "{late:?}"
-        );
+        sleep_until(stopped + Duration::from_millis(2_200)).await;
+        let headers = [("x-id", "late"), ("x-left", "4000"), ("x-work", "3900")];
+        let answer = fleet.post("front-0", "/a/", &headers).await.unwrap();
+        let late = (answer.status, fleet.runs_of("late").len());
+        let at = stopped.elapsed();
+        assert_eq!(late, (StatusCode::SERVICE_UNAVAILABLE, 0), "{at:?}");
     })
     .await;
 }
@@ -450,7 +451,7 @@
         for n in 0..6_u64 {
             sleep_until(stopped + Duration::from_millis(2_100 + n * 500)).await;
             let id = format!("s{n}");
-            let headers = [("x-id", id.as_str()), ("x-left", "1000")];
+            let headers = [("x-id", id.as_str()), ("x-left", "750")];
             let answer = fleet.post("front-0", "/a/", &headers).await.unwrap();
             let is_running = !fleet.pairs["deep-0"].task.as_ref().unwrap().is_finished();
             let at = stopped.elapsed().as_millis();
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -327,12 +327,13 @@
     })
 }
 
-async fn working_fleet(services: &[(&str, u8, u32)]) -> (MeshFleet, CutRuns) {
+/// A fleet with the classes `repeatable`, whose time limit is given, and `once`, whose requests are
+/// not idempotent and may take 4 s.
+async fn working_fleet(services: &[(&str, u8, u32)], repeatable_ms: u64) -> (MeshFleet, CutRuns) {
     let (script, cut) = worker();
     let mut classes = vec![route("repeatable", "deep"), route("once", "deep")];
-    for class in &mut classes {
-        class.timeout = Duration::from_secs(4);
-    }
+    classes[0].timeout = Duration::from_millis(repeatable_ms);
+    classes[1].timeout = Duration::from_secs(4);
     classes[1].idempotent = false;
     (MeshFleet::with(services, classes, script).await, cut)
 }
@@ -341,7 +342,7 @@
 /// before until 1 s after the last grace period; none may be broken, cut, or refused after it ran.
 async fn assert_stops_interrupt_nothing(stops: &[(&str, u64)]) {
     let services = [("front", 1, 400), ("deep", 1, 400)];
-    let (mut fleet, cut) = working_fleet(&services).await;
+    let (mut fleet, cut) = working_fleet(&services, 4_000).await;
     let (first, ends) = (Instant::now() + Duration::from_secs(3), Ends::default());
     let last = stops.iter().map(|(_, ms)| ms).max().unwrap();
     let until = first + Duration::from_millis(last + GRACE_MS + 1_000);
@@ -438,11 +439,12 @@
 }
 
 /// Guards against a last server that goes unused although its stopping node has time to finish a
-/// request, and against a request that is started there without that time.
+/// request, and against a request that is started there without that time, or that is trusted to be
+/// as short as all before it.
 #[tokio::test(start_paused = true)]
 async fn last_server_beside_a_stopping_node_gets_only_requests_it_can_finish() {
     local(async {
-        let (mut fleet, cut) = working_fleet(&[("front", 1, 400), ("deep", 1, 400)]).await;
+        let (mut fleet, cut) = working_fleet(&[("front", 1, 400), ("deep", 1, 400)], 1_200).await;
         let ends = Ends::default();
         for n in 0..20 {
             let mut caller = Caller::new(&fleet, "front-0", true);
@@ -453,16 +455,18 @@
         }
         let (stopped, mut sending) = (Instant::now(), vec![]);
         fleet.pairs["deep-0"].stop.cancel();
-        // Class, work, and time after the signal: the first keeps the node from stopping early, and
-        // only the last can't end within the grace period.
+        // Class, work, time after the signal, and whether the server may start it: the first keeps
+        // the node from stopping early. After the notice of 2.3 s, only a time limit that ends within
+        // the grace period is sure to hold.
         let requests = [
-            ("once", 2_100, 2_200),
-            ("repeatable", 300, 3_000),
-            ("once", 2_100, 2_900),
-            ("repeatable", 300, 4_100),
-            ("once", 2_100, 4_150),
+            ("once", 2_100, 2_200, true),
+            ("repeatable", 300, 3_000, true),
+            ("once", 2_100, 2_900, false),
+            ("once", 3_200, 2_950, false),
+            ("repeatable", 300, 4_100, true),
+            ("once", 2_100, 4_150, false),
         ];
-        for (class, work, after_ms) in requests {
+        for (class, work, after_ms, _) in requests {
             let mut caller = Caller::new(&fleet, "front-0", true);
             let (id, ends) = (format!("{class}-{after_ms}"), ends.clone());
             sending.push(tokio::task::spawn_local(async move {
@@ -472,28 +476,24 @@
             }));
         }
         sleep_until(stopped + Duration::from_millis(4_600)).await;
-        let late = "once-4150";
-        assert!(
-            fleet.runs_of(late).is_empty(),
-            "started without time to end"
-        );
         fleet.restart("deep-0", false).await;
         assert!(stopped.elapsed() < Duration::from_millis(GRACE_MS));
         for task in sending {
             task.await.unwrap();
         }
-        for (id, end) in ends.borrow().iter() {
-            let expected = if id == late {
-                End::Refused
-            } else {
-                End::Served
-            };
-            assert_eq!(*end, expected, "{id}");
-        }
         sleep(Duration::from_secs(1)).await;
-        let mut caller = Caller::new(&fleet, "front-0", true);
-        assert_eq!(caller.post("once", late, 2_100).await, End::Served);
-        assert_eq!(fleet.runs_of(late).len(), 1);
+        for (class, work, after_ms, is_startable) in requests {
+            let id = format!("{class}-{after_ms}");
+            let expected = [End::Refused, End::Served][usize::from(is_startable)];
+            let end = (id.clone(), expected);
+            assert!(ends.borrow().contains(&end), "{id}: {:?}", ends.borrow());
+            if !is_startable {
+                assert!(fleet.runs_of(&id).is_empty(), "{id} was started");
+                let mut caller = Caller::new(&fleet, "front-0", true);
+                assert_eq!(caller.post(class, &id, work).await, End::Served);
+            }
+            assert_eq!(fleet.runs_of(&id).len(), 1, "{id}");
+        }
         assert!(cut.borrow().is_empty(), "cut: {:?}", cut.borrow());
     })
     .await;
