Mesh: nodes of a service tell each other which requests crash servers

Cause: each node suspected and convicted for itself. The gate can report and merge suspects, but nothing carried the reports on this path. Ruled out: convictions that end, requests that are not recognised, crashes that are not noticed (docs/incidents/crashing-request.md).

Nodes of a service now exchange reports at once after a crash, and at their start. What another node suspects is isolated only after a second crash: the requests in flight at one crash all come back together and would wait for each other. Suspects are kept for 10 minutes instead of one, as callers may pause for longer; the two tests of that time follow the constant.

Cost: at most three small messages at the start of a node, and one to each node of the service for a crash.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -318,6 +318,14 @@
             .update_suspects(report, Instant::now());
     }
 
+    /// Merges the suspects and convictions of a node whose server runs the same requests. Its
+    /// suspects are isolated here only once they are in flight during a second crash. Returns
+    /// whether this changes what this node reports.
+    pub fn merge_suspects(&self, report: &SuspectReport) -> bool {
+        let mut core = self.core.borrow_mut();
+        core.merge_suspects(report, Instant::now())
+    }
+
     fn wake_pacer(&self, now: Instant) {
         if self.core.borrow().next_release(now).is_some() {
             self.delayed.notify_one();
--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -321,6 +321,10 @@
         self.isolation.update(report, now);
     }
 
+    pub(super) fn merge_suspects(&mut self, report: &SuspectReport, now: Instant) -> bool {
+        self.isolation.merge(report, now)
+    }
+
     fn refusal_reason(&self, request: &AdmissionRequest, now: Instant) -> Option<RefusalReason> {
         match self.state {
             GateState::Starting => return Some(RefusalReason::NoConfig),
--- a/src/coordination/gate/isolation.rs
+++ b/src/coordination/gate/isolation.rs
@@ -35,7 +35,7 @@
     }
 
     pub(super) fn is_suspect(&self, request: &Fingerprint, now: Instant) -> bool {
-        self.table.state(request, now) == Some(SuspectState::Suspect)
+        self.table.is_isolated(request, now)
     }
 
     /// Whether a suspect is running, or a suspect's connection was lost within [`LOSS_WINDOW`].
@@ -108,12 +108,26 @@
     /// Merges a report from another node. A request that completed here recently does not become a
     /// suspect.
     pub(super) fn update(&mut self, report: &SuspectReport, now: Instant) {
+        let report = self.without_completed(report, now);
+        self.table.update(&report, now);
+    }
+
+    /// The same, for a node whose suspects are isolated here only after a second crash; returns
+    /// whether this changes what this node reports.
+    pub(super) fn merge(&mut self, report: &SuspectReport, now: Instant) -> bool {
+        let report = self.without_completed(report, now);
+        self.table.merge(&report, now)
+    }
+
+    fn without_completed(&self, report: &SuspectReport, now: Instant) -> SuspectReport {
         let mut report = report.clone();
-        if !report.suspects.is_empty() {
+        if !report.suspects.is_empty() || !report.recurrent.is_empty() {
             let completed = self.completions.recent(now);
-            report.suspects.retain(|(f, _)| !completed.contains(f));
+            let has_not_completed = |(f, _): &(Fingerprint, Duration)| !completed.contains(f);
+            report.suspects.retain(has_not_completed);
+            report.recurrent.retain(has_not_completed);
         }
-        self.table.update(&report, now);
+        report
     }
 }
 
--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -44,6 +44,9 @@
 pub const AFTER: &str = "cb-after";
 /// Time for which the answer to that request may be held back, in ms.
 pub const HOLD_MS: &str = "cb-hold-ms";
+/// Present when a node reports the requests that it suspects of crashing servers, in the body, and
+/// asks for those of the other one.
+pub const SUSPECTS: &str = "cb-suspects";
 /// Longest useful wait in the queue, in ms.
 pub const MAX_WAIT_MS: &str = "cb-patience-ms";
 /// Importance of the client request.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -12,3 +12,4 @@
 pub mod peer_capnp;
 pub mod platform;
 pub mod report;
+pub mod suspects;
--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -115,6 +115,8 @@
     SuspectsAdded "suspects.added" "requests" Total "Requests marked as suspects.",
     SuspectsCleared "suspects.cleared" "requests" Total "Suspects cleared by a complete answer.",
     SuspectsConvicted "suspects.convicted" "requests" Total "Suspects convicted of crashing the backend server.",
+    SuspectsSent "suspects.sent" "messages" Total "Reports on suspects sent to other nodes.",
+    SuspectsReceived "suspects.received" "messages" Total "Reports on suspects received from other nodes.",
     Suspects "suspects.kept" "requests" Gauge "Suspects and convicted requests known.",
 
     GateInFlight "gate.in-flight" "calls" Gauge "Calls in flight at the backend server.",
--- a/src/state/suspect.rs
+++ b/src/state/suspect.rs
@@ -6,8 +6,11 @@
 
 use super::id::Fingerprint;
 
-/// Time for which a request that was in flight during a crash is run in isolation.
-pub const SUSPECT_TTL: Duration = Duration::from_secs(60);
+/// Time for which a request that was in flight during a crash is run in isolation. It covers the
+/// pauses of callers that send a request again after a failure.
+pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
+/// Time for which late reports of a request that has completed are ignored.
+const CLEARED_TTL: Duration = Duration::from_secs(60);
 /// Time for which a convicted request is refused.
 pub const CONVICTED_TTL: Duration = Duration::from_secs(600);
 /// Maximum number of requests in a table. One crash adds at most as many as the server has slots.
@@ -18,8 +21,12 @@
 pub enum SuspectState {
     /// It completed after it had become a suspect.
     Cleared,
+    /// It was in flight when the server of another node crashed.
+    Reported,
     /// It was in flight when a server crashed.
     Suspect,
+    /// It was in flight when two servers crashed.
+    Recurrent,
     /// It was the only suspect in flight when a server crashed.
     Convicted,
 }
@@ -29,6 +36,8 @@
 pub struct SuspectReport {
     /// Requests that were in flight during a crash.
     pub suspects: Vec<(Fingerprint, Duration)>,
+    /// Requests that were in flight during the crashes of two servers.
+    pub recurrent: Vec<(Fingerprint, Duration)>,
     /// Requests found to crash servers.
     pub convicted: Vec<(Fingerprint, Duration)>,
 }
@@ -53,9 +62,18 @@
 
     /// Adds a request that was in flight during a crash.
     pub fn suspect(&mut self, request: Fingerprint, now: Instant) {
-        if self.state(&request, now) != Some(SuspectState::Convicted) {
-            self.insert(request, SuspectState::Suspect, now + SUSPECT_TTL, now);
-        }
+        let state = match self.state(&request, now) {
+            None | Some(SuspectState::Cleared | SuspectState::Suspect) => SuspectState::Suspect,
+            Some(SuspectState::Reported | SuspectState::Recurrent) => SuspectState::Recurrent,
+            Some(SuspectState::Convicted) => return,
+        };
+        self.insert(request, state, now + SUSPECT_TTL, now);
+    }
+
+    /// Whether a request has to run in isolation.
+    pub fn is_isolated(&self, request: &Fingerprint, now: Instant) -> bool {
+        let state = self.state(request, now);
+        matches!(state, Some(SuspectState::Suspect | SuspectState::Recurrent))
     }
 
     /// Convicts the only suspect that was in flight during a crash.
@@ -66,9 +84,9 @@
     /// Clears a suspect that completed. Late reports that suspect it are ignored.
     pub fn clear(&mut self, request: &Fingerprint, now: Instant) {
         if let Some((state, until)) = self.entries.get_mut(request)
-            && *state == SuspectState::Suspect
+            && (SuspectState::Reported..=SuspectState::Recurrent).contains(state)
         {
-            (*state, *until) = (SuspectState::Cleared, now + SUSPECT_TTL);
+            (*state, *until) = (SuspectState::Cleared, now + CLEARED_TTL);
         }
     }
 
@@ -83,6 +101,7 @@
         };
         SuspectReport {
             suspects: with_state(SuspectState::Suspect),
+            recurrent: with_state(SuspectState::Recurrent),
             convicted: with_state(SuspectState::Convicted),
         }
     }
@@ -95,6 +114,39 @@
                 self.insert(*request, SuspectState::Suspect, until, now);
             }
         }
+        self.update_verdicts(report, now);
+    }
+
+    /// Adds the entries of the report of a node whose server runs the same requests; returns whether
+    /// a suspect of this node has become recurrent.
+    ///
+    /// One crash tells little, as all requests in flight at the server are reported and only one is
+    /// at fault. They are therefore not isolated at other servers, until one of these crashes too.
+    pub fn merge(&mut self, report: &SuspectReport, now: Instant) -> bool {
+        let mut is_promoted = false;
+        for (request, remaining) in &report.suspects {
+            let state = match self.state(request, now) {
+                None => SuspectState::Reported,
+                Some(SuspectState::Suspect) => SuspectState::Recurrent,
+                Some(_) => continue,
+            };
+            is_promoted |= state == SuspectState::Recurrent;
+            let until = now + (*remaining).min(SUSPECT_TTL);
+            self.insert(*request, state, until, now);
+        }
+        self.update_verdicts(report, now);
+        is_promoted
+    }
+
+    /// Adds the recurrent and the convicted requests of another node's report.
+    fn update_verdicts(&mut self, report: &SuspectReport, now: Instant) {
+        for (request, remaining) in &report.recurrent {
+            let before = self.state(request, now);
+            if before.is_none_or(|s| matches!(s, SuspectState::Reported | SuspectState::Suspect)) {
+                let until = now + (*remaining).min(SUSPECT_TTL);
+                self.insert(*request, SuspectState::Recurrent, until, now);
+            }
+        }
         for (request, remaining) in &report.convicted {
             if self.state(request, now) != Some(SuspectState::Convicted) {
                 let until = now + (*remaining).min(CONVICTED_TTL);
--- a/src/state/suspect/tests.rs
+++ b/src/state/suspect/tests.rs
@@ -22,11 +22,10 @@
             Some(SuspectState::Convicted),
         ),
         (
-            59,
+            599,
             Some(SuspectState::Suspect),
             Some(SuspectState::Convicted),
         ),
-        (60, None, Some(SuspectState::Convicted)),
         (600, None, None),
     ];
     for (seconds, first, second) in cases {
@@ -42,11 +41,11 @@
     let now = Instant::now();
     let (mut first, mut second) = (SuspectTable::new(), SuspectTable::new());
     first.suspect(request(1), now);
-    for seconds in 0..120 {
+    for seconds in 0..1_200 {
         let at = now + Duration::from_secs(seconds);
         second.update(&first.report(at), at);
         first.update(&second.report(at), at);
-        let expected = (seconds < 60).then_some(SuspectState::Suspect);
+        let expected = (seconds < 600).then_some(SuspectState::Suspect);
         assert_eq!(second.state(&request(1), at), expected, "after {seconds} s");
     }
 }
@@ -84,3 +83,52 @@
     }
     assert_eq!(table.state(&request(0), now), Some(SuspectState::Convicted));
 }
+
+/// Guards against requests that are isolated at every server because one of them has crashed, and
+/// against one that crashes servers and is not isolated after the second crash.
+#[test]
+fn suspects_of_other_nodes_are_isolated_after_a_second_crash() {
+    let now = Instant::now();
+    let [mut first, mut second, mut third] = [(); 3].map(|()| SuspectTable::new());
+    first.suspect(request(1), now);
+    first.suspect(request(2), now);
+    for _ in 0..3 {
+        assert!(!second.merge(&first.report(now), now));
+        assert!(!third.merge(&first.report(now), now));
+    }
+    assert!(!second.is_isolated(&request(1), now));
+    assert_eq!(second.report(now), SuspectReport::default());
+    second.suspect(request(1), now);
+    assert!(!third.merge(&second.report(now), now));
+    first.merge(&second.report(now), now);
+    for table in [&first, &second, &third] {
+        let state = table.state(&request(1), now);
+        assert_eq!(state, Some(SuspectState::Recurrent));
+        assert!(table.is_isolated(&request(1), now));
+    }
+    assert!(!third.is_isolated(&request(2), now));
+    third.clear(&request(2), now);
+    third.convict(request(1), now);
+    second.merge(&third.report(now), now);
+    let state = second.state(&request(1), now);
+    assert_eq!(state, Some(SuspectState::Convicted));
+}
+
+/// Guards against two crashes at the same time that count as one at each of the nodes.
+#[test]
+fn crashes_at_two_nodes_before_they_tell_each_other_count_twice() {
+    let now = Instant::now();
+    let [mut first, mut second, mut third] = [(); 3].map(|()| SuspectTable::new());
+    first.suspect(request(1), now);
+    second.suspect(request(1), now);
+    let reports = [first.report(now), second.report(now)];
+    for report in &reports {
+        third.merge(report, now);
+    }
+    assert!(first.merge(&reports[1], now));
+    assert!(second.merge(&reports[0], now));
+    third.merge(&first.report(now), now);
+    for table in [&first, &second, &third] {
+        assert!(table.is_isolated(&request(1), now));
+    }
+}
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -153,6 +153,11 @@
         Some(sender)
     }
 
+    /// Opens a new connection for the next request to a peer; the calls on the old one go on.
+    pub fn renew(&self, to: SocketAddr) {
+        self.links.borrow_mut().remove(&to);
+    }
+
     /// Closes the connections to all peers that are not in `peers`, once their calls have ended.
     pub fn retain(&self, peers: &BTreeSet<SocketAddr>) {
         self.links.borrow_mut().retain(|at, _| peers.contains(at));
--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -29,6 +29,7 @@
     relay,
     server::serve,
     shared::Mesh,
+    suspects,
 };
 
 /// Handles requests from other nodes.
@@ -51,6 +52,9 @@
             let answer = relay::answer(mesh, request.headers()).await;
             return answer.unwrap_or_else(|error| self.malformed(&error));
         }
+        if suspects::is_request(request.headers()) {
+            return suspects::answer(mesh, request.into_body()).await;
+        }
         mesh.counters.add(Counter::PeerCalls, 1);
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -18,6 +18,7 @@
 mod relay;
 mod server;
 mod shared;
+mod suspects;
 mod trace;
 
 pub use shared::Mesh;
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -30,6 +30,7 @@
     pressure::PressureLog,
     ready::Ready,
     shared::Mesh,
+    suspects,
 };
 
 const TICK_MS: u64 = 100;
@@ -83,6 +84,7 @@
     background.spawn(health::watch(mesh.clone(), background_stop.clone()));
     background.spawn(tick(mesh.clone(), background_stop.clone()));
     background.spawn(probe(mesh.clone(), background_stop.clone()));
+    background.spawn(suspects::run(mesh.clone(), background_stop.clone()));
     background.spawn(pace(mesh.clone(), background_stop.clone()));
 
     let (callers, peers, admin_stop) = (
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -23,7 +23,7 @@
     },
     state::{
         counters::{Counter, Counters},
-        id::{ClassName, Fingerprint, ServiceName, UpstreamName},
+        id::{ClassName, ServiceName, UpstreamName},
         level::Levels,
         mesh::{
             backend::InstanceId,
@@ -44,14 +44,10 @@
 };
 
 use super::{
-    super::{
-        health::{Health, Watched},
-        link::Links,
-        net::Net,
-        pool::Pool,
-    },
+    super::{health::Health, link::Links, net::Net, pool::Pool},
     metrics::Latency,
     relay::Relay,
+    suspects::Sharing,
 };
 
 /// Share of the drain bound for which a server whose entry is missing may still get requests; the
@@ -115,6 +111,8 @@
     pub readers: Cell<usize>,
     /// Changes of the store that this node passes on.
     pub relay: Relay,
+    /// Exchange of suspect requests with the other nodes of the service.
+    pub suspects: Sharing,
     /// Notified when another node reports a newer store revision.
     pub behind_notify: Notify,
     /// Whether the node is about to stop: it is not ready, and reports this to other nodes.
@@ -178,6 +176,7 @@
             source: RefCell::new(Source::Store),
             readers: Cell::default(),
             relay: Relay::default(),
+            suspects: Sharing::default(),
             behind_notify: Notify::new(),
             retiring: Cell::new(false),
             refusing_callers: Cell::new(false),
@@ -457,31 +456,3 @@
 
 /// Connections allowed beyond the number of slots, because closing ones still count.
 const SPARE_CONNECTIONS: u32 = 16;
-
-impl<N: Net, D> Watched for Mesh<N, D> {
-    type Net = N;
-
-    fn pool(&self) -> &Pool<N> {
-        &self.pool
-    }
-
-    fn gate(&self) -> &Gate {
-        &self.gate
-    }
-
-    fn health(&self) -> &Health {
-        &self.health
-    }
-
-    fn record_crash(&self, suspects: &[Fingerprint], accepts: bool) {
-        self.counters.add(Counter::ServerLost, 1);
-        log::warn!(in_flight = suspects.len(), accepts; "backend server lost its connections");
-        for request in suspects {
-            log::info!(request:%; "request is suspected of crashing the backend server");
-        }
-    }
-
-    fn record_recovery(&self) {
-        log::info!("backend server accepts connections again");
-    }
-}
