Mesh: notice connections to the store that have fallen silent within 2 s

Cause: only the end of a node's own watch, up to 9 s later, or a request from a node that had read further showed it. A quiet fleet sends few requests, and a node that noticed told nobody.

Two readers of the fleet hold short watches. A node whose watch is overdue, and whom the store answers at once on a new connection, tells the other readers to renew theirs. Nodes that ask readers ask another one after each answer without changes. The effect of items of the store moves into a file of its own.

--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -47,6 +47,9 @@
 /// Present when a node reports the requests that it suspects of crashing servers, in the body, and
 /// asks for those of the other one.
 pub const SUSPECTS: &str = "cb-suspects";
+/// Present when a node tells another one that its connections to the platform's store had fallen
+/// silent.
+pub const STORE_SILENT: &str = "cb-store-silent";
 /// Longest useful wait in the queue, in ms.
 pub const MAX_WAIT_MS: &str = "cb-patience-ms";
 /// Importance of the client request.
--- a/src/state/mesh/progress.rs
+++ b/src/state/mesh/progress.rs
@@ -10,9 +10,12 @@
 const WATCH_MIN: Duration = Duration::from_secs(1);
 /// Longest duration of a watch. The store's own limit is 30 s, less time for the answer to arrive.
 const WATCH_MAX: Duration = Duration::from_secs(28);
-/// Mean interval between the ends of watches without changes, over all nodes. Nodes whose
-/// connection to the store has failed silently learn of a change when the next watch ends, so
-/// several of these intervals have to fit into the shortest time limit for changes, 2 s.
+/// Duration of the watches of a sentinel. A connection that has fallen silent is noticed when the
+/// answer to a watch is overdue, so this time, the time allowed for the answer and the alarm have to
+/// fit into the shortest time limit for changes, 2 s.
+pub const SENTINEL_WATCH: Duration = Duration::from_millis(700);
+/// Mean interval between the ends of watches without changes, over all nodes. It covers the case
+/// that no sentinel reaches the store.
 const WATCH_END_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Shortest pause after a watch that returned changes.
--- a/src/state/mesh/readers.rs
+++ b/src/state/mesh/readers.rs
@@ -55,13 +55,24 @@
     Source::Readers(readers)
 }
 
-/// Number of readers in all zones, given the servers known.
-pub fn count<'a>(servers: impl IntoIterator<Item = &'a Upstream>) -> usize {
+/// Readers of the whole fleet that notice soon when their connections to the store fall silent, and
+/// alarm the others: two, so that one may be stopped or cut off.
+pub const SENTINELS: usize = 2;
+
+/// The readers of all zones, given the servers known; the sentinels come first.
+pub fn all<'a>(servers: impl IntoIterator<Item = &'a Upstream>) -> Vec<SocketAddr> {
+    let mut ranked: Vec<_> = servers
+        .into_iter()
+        .map(|s| (rank(&[s.peer]), s.peer, &s.zone))
+        .collect();
+    ranked.sort_unstable();
     let mut zones: BTreeMap<_, usize> = BTreeMap::new();
-    for server in servers {
-        *zones.entry(&server.zone).or_default() += 1;
-    }
-    zones.values().map(|n| (*n).min(READERS_PER_ZONE)).sum()
+    let readers = ranked.into_iter().filter(|(_, _, zone)| {
+        let count = zones.entry(*zone).or_default();
+        *count += 1;
+        *count <= READERS_PER_ZONE
+    });
+    readers.map(|(_, peer, _)| peer).collect()
 }
 
 fn rank(nodes: &[SocketAddr]) -> [u8; 32] {
--- /dev/null
+++ b/src/transport/mesh/alarm.rs
@@ -0,0 +1,67 @@
+//! Alarm of a node whose connection to the platform's store has fallen silent.
+//!
+//! Such a connection shows no error: a change that the store would send on it never arrives. What
+//! silences the connection of one node may have silenced those of all, and only an overdue answer
+//! shows it. The node that notices first tells the other readers, which then renew their watches on
+//! new connections.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures::future::join_all;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::Full;
+use tokio::time::timeout;
+
+use crate::{
+    protocol::{call::write, header},
+    state::counters::Counter,
+};
+
+use super::{
+    super::{net::Net, reply::Body},
+    shared::Mesh,
+};
+
+/// Time allowed for an answer. The connection to the other node may be silent, too, so a new one is
+/// tried then.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Tells the other readers that the connection to the store had fallen silent.
+pub async fn raise<N: Net, D>(mesh: Rc<Mesh<N, D>>) {
+    let own = mesh.own_peer();
+    let readers = mesh.readers.borrow().clone();
+    let others = readers.into_iter().filter(|reader| *reader != own);
+    let sent = others.map(async |reader| {
+        for _ in 0..2 {
+            let Ok(mut request) = Request::post(format!("http://{reader}/")).body(Full::default())
+            else {
+                return;
+            };
+            write(request.headers_mut(), header::STORE_SILENT, &1);
+            mesh.write_progress(request.headers_mut());
+            let sent = mesh.links.send(reader, request);
+            if matches!(timeout(ANSWER_TIMEOUT, sent).await, Ok(Ok(_))) {
+                return;
+            }
+            mesh.links.renew(reader);
+        }
+        log::info!(node:% = reader; "node could not be told that connections to the store fall silent");
+    });
+    join_all(sent).await;
+}
+
+/// Whether a request of another node is an alarm.
+pub fn is_request(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::STORE_SILENT)
+}
+
+/// Makes this node renew its watch at the store.
+pub fn answer<N: Net, D>(mesh: &Mesh<N, D>, headers: &HeaderMap) -> Response<Body> {
+    mesh.read_progress(headers);
+    mesh.counters.add(Counter::ConfigAlarms, 1);
+    mesh.store_alarm.notify_one();
+    let mut response = Response::new(Body::whole(Bytes::new()));
+    *response.status_mut() = StatusCode::NO_CONTENT;
+    response
+}
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -1,7 +1,7 @@
 //! Replication of the platform's store: one list read at the start, then watches at the store, or
 //! changes that another node of the zone passes on.
 
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, mem::replace, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -14,13 +14,10 @@
     state::{
         counters::Counter,
         mesh::{
-            backend::{Backend, InstanceId},
             changelog::Batch,
             progress,
             readers::Source,
-            registry::Change,
             revision::{Epoch, StoreRevision},
-            route::RouteTable,
         },
     },
 };
@@ -29,7 +26,9 @@
     super::{
         net::Net,
         platform::{PlatformClient, PlatformError},
+        tasks::Tasks,
     },
+    alarm,
     relay::{self, RelayError},
     shared::Mesh,
 };
@@ -75,12 +74,12 @@
         epoch: Epoch::default(),
         listed_epoch: None,
         is_rejoining: false,
+        fell_silent: false,
+        alarms: Tasks::default(),
     };
-    tokio::select! {
-        biased;
-        () = stop.cancelled() => {}
-        () = follower.follow() => {}
-    }
+    let alarms = follower.alarms.clone();
+    stop.run_until_cancelled(follower.follow()).await;
+    alarms.abort().await;
 }
 
 /// Result of a list or a watch.
@@ -96,6 +95,8 @@
     Behind,
     /// The settings name another address for the store.
     StoreMoved,
+    /// The connections of another node to the store had fallen silent.
+    Alarmed,
     /// A reader could not pass on changes.
     ReaderFailed(SocketAddr, RelayError),
 }
@@ -112,6 +113,9 @@
     /// wait: a revision of an earlier epoch may not have been reached again yet, so the store would
     /// not answer.
     is_rejoining: bool,
+    /// Whether the answer to the last watch was overdue, although its connection showed no error.
+    fell_silent: bool,
+    alarms: Tasks,
 }
 
 impl<N: Net, D: Directory> Follower<N, D> {
@@ -142,6 +146,7 @@
                     self.record_progress(at);
                     self.mesh.relay.set_current(true);
                     self.is_rejoining = false;
+                    self.raise_alarm();
                     revision = Some(at.revision);
                     backoff = BACKOFF_MIN_MS;
                     if changed && reader.is_none() {
@@ -154,13 +159,19 @@
                     self.log_behind();
                     self.is_rejoining = true;
                 }
-                Ok(ReadResult::StoreMoved) => self.is_rejoining = true,
+                Ok(ReadResult::StoreMoved | ReadResult::Alarmed) => self.is_rejoining = true,
                 Ok(ReadResult::ReaderFailed(reader, error)) => self.replace_reader(reader, &error),
                 Err(FollowError::Read(PlatformError::Status(StatusCode::GONE))) => revision = None,
                 Err(error) => {
                     self.record_failure(&error);
                     self.mesh.relay.set_current(false);
+                    let is_overdue = matches!(error, FollowError::Read(PlatformError::Timeout));
+                    let is_watch = !is_list && !self.is_rejoining;
                     self.is_rejoining = true;
+                    self.fell_silent = is_overdue && is_watch;
+                    if self.fell_silent {
+                        continue;
+                    }
                     let jitter = 0.5 + self.mesh.rng.borrow_mut().f64();
                     sleep(Duration::from_millis(backoff).mul_f64(jitter)).await;
                     backoff = (backoff * 2).min(BACKOFF_MAX_MS);
@@ -199,7 +210,8 @@
                 if let Item::Backend { id, .. } = &item {
                     ids.insert(id.clone());
                 }
-                self.apply_item(item);
+                let at = self.at(item.revision());
+                self.mesh.apply_item(item, at);
             }
             after = page.cursor;
             if after.is_none() {
@@ -229,11 +241,14 @@
     async fn watch(&mut self, from: u64) -> Result<ReadResult> {
         let started = Instant::now();
         let watch_time = self.watch_time();
-        if !self.is_rejoining {
-            self.mesh.counters.set(Counter::ConfigReader, 1);
+        let timeout = match self.is_rejoining {
+            true => Duration::from_millis(PAGE_TIMEOUT_MS),
+            false => watch_time + Duration::from_millis(WATCH_TIMEOUT_EXTRA_MS),
+        };
+        match self.is_rejoining {
+            true => self.client.disconnect(),
+            false => self.mesh.counters.set(Counter::ConfigReader, 1),
         }
-        let timeout = watch_time + Duration::from_millis(WATCH_TIMEOUT_EXTRA_MS);
-        let timeout = timeout.max(Duration::from_millis(PAGE_TIMEOUT_MS));
         let path = self.mesh.directory.watch_path(from, watch_time);
         self.mesh.counters.add(Counter::ConfigReads, 1);
         let response = tokio::select! {
@@ -241,6 +256,9 @@
             response = self.client.get(&path, RESPONSE_MAX_BYTES, timeout) => response?,
             () = wait_until_behind(&self.mesh, Some(started), CATCH_UP_MS) => return Ok(ReadResult::Behind),
             () = self.mesh.store_moved.notified() => return Ok(ReadResult::StoreMoved),
+            () = self.mesh.store_alarm.notified(), if !self.is_rejoining => {
+                return Ok(ReadResult::Alarmed);
+            }
         };
         if self.record_epoch(&response.headers, Some(from))? {
             return Ok(ReadResult::Restored);
@@ -264,8 +282,12 @@
         if self.is_rejoining {
             return REJOIN_WATCH;
         }
-        let readers = self.mesh.readers.get();
+        let readers = self.mesh.readers.borrow().len();
         let watch_time = progress::watch_duration(readers, &mut self.mesh.rng.borrow_mut());
+        let watch_time = match self.mesh.is_sentinel() {
+            true => watch_time.min(progress::SENTINEL_WATCH),
+            false => watch_time,
+        };
         match *self.mesh.source.borrow() {
             Source::Store => watch_time,
             Source::Readers(_) => watch_time.min(SUBSTITUTE_WATCH),
@@ -285,6 +307,7 @@
         let (to, body) = match answer {
             Ok(relay::Answer::Changes { to, body }) => (to, body),
             Ok(relay::Answer::UpToDate) => {
+                self.readers.ask_next();
                 return Ok(ReadResult::UpTo {
                     revision: at,
                     changed: false,
@@ -307,9 +330,10 @@
         let changes = self.mesh.directory.parse_changes(body)?;
         let (mut has_items, mut changed) = (false, false);
         for item in changes.items {
-            if item.revision() > from {
+            let at = self.at(item.revision());
+            if at.revision > from {
                 has_items = true;
-                changed |= self.apply_item(item);
+                changed |= self.mesh.apply_item(item, at);
             }
         }
         if changed {
@@ -331,79 +355,6 @@
         }
     }
 
-    /// Applies one item; returns whether the record of a backend server changed.
-    fn apply_item(&self, item: Item) -> bool {
-        let revision = self.at(item.revision());
-        self.mesh.progress.borrow_mut().seen(revision);
-        match item {
-            Item::Backend {
-                entry: Ok(backend), ..
-            } => self.update_backend(backend, revision),
-            Item::Backend {
-                id,
-                entry: Err(error),
-                ..
-            } => {
-                self.mesh.counters.add(Counter::ConfigInvalid, 1);
-                log::warn!(id:%, revision:%, error:%; "entry names no backend server");
-                self.mark_backend_missing(&id, revision)
-            }
-            Item::Removed { id, .. } => self.mark_backend_missing(&id, revision),
-            Item::Routes {
-                table: Ok(table), ..
-            } => {
-                self.update_routes(table, revision);
-                false
-            }
-            Item::Routes {
-                table: Err(error), ..
-            } => {
-                self.mesh.counters.add(Counter::ConfigInvalid, 1);
-                log::warn!(revision:%, error:%; "routes are ignored");
-                false
-            }
-        }
-    }
-
-    fn update_backend(&self, backend: Backend, revision: StoreRevision) -> bool {
-        let (id, service) = (backend.id.clone(), backend.service.clone());
-        let mut registry = self.mesh.registry.borrow_mut();
-        let change = registry.update(backend, revision, Instant::now());
-        let Some(change) = change else {
-            return false;
-        };
-        if change != Change::Updated {
-            let change = change.as_str();
-            log::info!(backend:% = id, service:%, revision:%, change; "backend server changed");
-        }
-        true
-    }
-
-    fn mark_backend_missing(&self, id: &InstanceId, revision: StoreRevision) -> bool {
-        let mut registry = self.mesh.registry.borrow_mut();
-        let change = registry.mark_missing(id, revision, Instant::now());
-        if change.is_some() {
-            log::info!(backend:% = id, revision:%; "entry of a backend server is missing");
-        }
-        change.is_some()
-    }
-
-    fn update_routes(&self, table: RouteTable, at: StoreRevision) {
-        let current = self.mesh.routes.borrow().as_ref().map(|t| t.revision());
-        let revision = table.revision();
-        if current.is_some_and(|current| revision <= current) {
-            if current.is_some_and(|current| revision < current) {
-                self.mesh.counters.add(Counter::ConfigOlder, 1);
-                log::warn!(revision:%, at:%; "older routes are ignored");
-            }
-            return;
-        }
-        let routes = table.routes().count();
-        log::info!(revision:%, at:%, routes; "routes are in effect");
-        self.mesh.counters.add(Counter::ConfigAccepted, 1);
-        self.mesh.apply_routes(table);
-    }
-
     fn record_failure(&mut self, error: &FollowError) {
         self.mesh.counters.add(Counter::ConfigReadsFailed, 1);
         if self.lost_since.is_none() {
@@ -457,6 +408,15 @@
         Ok(is_restored)
     }
 
+    /// Tells the other readers if the store has answered on a new connection only.
+    fn raise_alarm(&mut self) {
+        if replace(&mut self.fell_silent, false) {
+            self.mesh.counters.add(Counter::ConfigSilent, 1);
+            log::warn!("connection to the store had fallen silent; the other readers are told");
+            self.alarms.spawn(alarm::raise(self.mesh.clone()));
+        }
+    }
+
     fn record_recovery(&mut self, at: StoreRevision) {
         let Some(since) = self.lost_since.take() else {
             return;
--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -25,6 +25,7 @@
         request::BufferedRequest,
         server::Handler,
     },
+    alarm,
     context::PeerHeaders,
     relay,
     server::serve,
@@ -52,6 +53,9 @@
             let answer = relay::answer(mesh, request.headers()).await;
             return answer.unwrap_or_else(|error| self.malformed(&error));
         }
+        if alarm::is_request(request.headers()) {
+            return alarm::answer(mesh, request.headers());
+        }
         if suspects::is_request(request.headers()) {
             return suspects::answer(mesh, request.into_body()).await;
         }
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -4,11 +4,13 @@
 //! backend server and sends the request to the node beside it, which admits the request and
 //! forwards it to the backend server.
 
+mod alarm;
 mod announce;
 mod attempt;
 mod context;
 mod follow;
 mod inbound;
+mod items;
 mod local;
 mod metrics;
 pub mod node;
--- a/src/transport/mesh/relay.rs
+++ b/src/transport/mesh/relay.rs
@@ -128,10 +128,11 @@
     UpToDate,
 }
 
-/// The readers that this node avoids for a while.
+/// The choice of the reader that this node asks, and the readers that it avoids for a while.
 #[derive(Debug, Default)]
 pub struct Client {
     avoided: BTreeMap<SocketAddr, Instant>,
+    turn: usize,
 }
 
 impl Client {
@@ -140,13 +141,20 @@
         self.avoided.retain(|_, until| *until > now);
         match &*mesh.source.borrow() {
             Source::Store => None,
-            Source::Readers(all) => all
-                .iter()
-                .copied()
-                .find(|at| !self.avoided.contains_key(at)),
+            Source::Readers(all) => {
+                let (before, from) = all.split_at(self.turn % all.len());
+                let mut readers = from.iter().chain(before).copied();
+                readers.find(|at| !self.avoided.contains_key(at))
+            }
         }
     }
 
+    /// Asks another reader next time. One that has lost the store does not notice before its watch is
+    /// overdue, and reports no changes until then.
+    pub fn ask_next(&mut self) {
+        self.turn = self.turn.wrapping_add(1);
+    }
+
     /// Stops asking a reader for a while.
     pub fn avoid(&mut self, reader: SocketAddr, now: Instant) {
         self.avoided.insert(reader, now + AVOID);
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -30,7 +30,7 @@
             calls::RunningRequests,
             downstream::{DownstreamLevels, Excluded},
             progress::Progress,
-            readers::{self, Source},
+            readers::{self, SENTINELS, Source},
             registry::{Registry, RemovalDelay},
             revision::StoreRevision,
             route::{Route, RouteTable},
@@ -107,8 +107,10 @@
     pub progress: RefCell<Progress>,
     /// Where this node gets the changes of the store from.
     pub source: RefCell<Source>,
-    /// Number of nodes that read the store for others.
-    pub readers: Cell<usize>,
+    /// The nodes that read the store for others, the sentinels first.
+    pub readers: RefCell<Vec<SocketAddr>>,
+    /// Notified when the connections of another node to the store have fallen silent.
+    pub store_alarm: Notify,
     /// Changes of the store that this node passes on.
     pub relay: Relay,
     /// Exchange of suspect requests with the other nodes of the service.
@@ -174,7 +176,8 @@
             listed: Cell::new(false),
             progress: RefCell::default(),
             source: RefCell::new(Source::Store),
-            readers: Cell::default(),
+            readers: RefCell::default(),
+            store_alarm: Notify::new(),
             relay: Relay::default(),
             suspects: Sharing::default(),
             behind_notify: Notify::new(),
@@ -284,10 +287,10 @@
         self.router.replace(upstreams);
         let servers = || all.values().flatten();
         self.links.retain(&servers().map(|u| u.peer).collect());
-        let own = SocketAddr::new(self.settings.server.ip(), self.settings.inbound.port());
+        let own = self.own_peer();
         let zone = &self.settings.zone;
         self.source.replace(readers::source(own, zone, servers()));
-        self.readers.set(readers::count(servers()));
+        self.readers.replace(readers::all(servers()));
         let Some(own) = registry.by_address(self.settings.server) else {
             return;
         };
@@ -310,6 +313,17 @@
         }
     }
 
+    /// Address at which this node serves the others.
+    pub fn own_peer(&self) -> SocketAddr {
+        SocketAddr::new(self.settings.server.ip(), self.settings.inbound.port())
+    }
+
+    /// Whether this node has to notice soon when its connection to the store falls silent.
+    pub fn is_sentinel(&self) -> bool {
+        let (readers, own) = (self.readers.borrow(), self.own_peer());
+        readers.iter().take(SENTINELS).any(|reader| *reader == own)
+    }
+
     /// Whether the backend server beside this node leaves, or its entry is draining or missing.
     pub fn is_draining(&self) -> bool {
         let registry = self.registry.borrow();
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -79,6 +79,11 @@
         self.address
     }
 
+    /// Opens a new connection for the next request: the present one may have fallen silent.
+    pub fn disconnect(&mut self) {
+        self.session = None;
+    }
+
     /// Requests `path`; the response may have at most `max_bytes` and take at most `time_limit`.
     ///
     /// # Errors
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -7,7 +7,7 @@
 use comfreybay::state::{
     mesh::{
         changelog::{Batch, ChangeLog, Lookup},
-        readers::{READERS_PER_ZONE, Source, count, source},
+        readers::{self, READERS_PER_ZONE, Source, source},
         revision::{Epoch, StoreRevision},
     },
     object::Upstream,
@@ -52,7 +52,7 @@
             .filter(|n| source_of(**n, &servers) == Source::Store)
             .map(|n| server(*n).peer)
             .collect();
-        assert_eq!(reading.len(), count(&servers), "{members:?}");
+        assert_eq!(reading.len(), readers::all(&servers).len(), "{members:?}");
         for n in &members {
             if let Source::Readers(readers) = source_of(*n, &servers) {
                 assert_eq!(readers.len(), READERS_PER_ZONE, "{n} of {members:?}");
