Body: bound the memory of answers in many small parts

Cause: limits and windows count bytes of the body. Each chunk was kept as a buffer, and became a frame between two nodes.

What is read before an answer is passed on is copied into one buffer; later parts below 1 KiB wait up to 5 ms for more.

Cost: small parts of an answer above 64 KiB are up to 5 ms later.

--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -4,10 +4,9 @@
 
 use std::{
     cell::Cell,
-    collections::VecDeque,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll, ready},
+    task::{Context, Poll},
     time::Duration,
 };
 
@@ -27,6 +26,14 @@
 /// A response body up to this size is read in full before the response head is forwarded.
 pub const BUFFER_MAX_BYTES: usize = 64 * 1_024;
 
+/// Size from which a part of a streamed body is passed on by itself.
+const SMALL_BYTES: usize = 1_024;
+/// Size up to which smaller parts are passed on together.
+const GATHERED_MAX_BYTES: usize = 16 * 1_024;
+/// Time for which a small part waits for further ones. It bounds the number of parts: a writer that
+/// sends them as fast as they are read would otherwise have each passed on by itself.
+const GATHER_TIME: Duration = Duration::from_millis(5);
+
 /// Errors while reading a body.
 #[derive(Debug, Error)]
 pub enum BodyError {
@@ -122,8 +129,8 @@
 pub enum Buffered {
     /// The body is complete.
     Whole(Bytes),
-    /// The body is longer than [`BUFFER_MAX_BYTES`]: the chunks read so far, and the rest.
-    Partial(VecDeque<Bytes>, Incoming),
+    /// The body is longer than [`BUFFER_MAX_BYTES`]: what was read so far, and the rest.
+    Partial(Bytes, Incoming),
 }
 
 /// Reads a body until it ends or exceeds [`BUFFER_MAX_BYTES`].
@@ -131,8 +138,8 @@
 /// # Errors
 /// The connection fails or the body is truncated.
 pub async fn read_buffered(mut body: Incoming, framing: Framing) -> Result<Buffered, BodyError> {
-    let mut chunks = VecDeque::new();
-    let mut size = 0_u64;
+    // Copied, because a chunk of one byte takes far more memory than that.
+    let mut whole = BytesMut::new();
     if framing == Framing::Empty {
         return Ok(Buffered::Whole(Bytes::new()));
     }
@@ -140,21 +147,17 @@
     while let Some(frame) = body.frame().await {
         let frame = frame?;
         match frame.into_data() {
-            Ok(data) => {
-                size += data.len() as u64;
-                chunks.push_back(data);
-            }
+            Ok(data) => whole.extend_from_slice(&data),
             Err(frame) => announced = frame.trailers_ref().and_then(trailer_length),
         }
-        if size > BUFFER_MAX_BYTES as u64 {
-            return Ok(Buffered::Partial(chunks, body));
+        if whole.len() > BUFFER_MAX_BYTES {
+            return Ok(Buffered::Partial(whole.freeze(), body));
         }
     }
+    let size = whole.len() as u64;
     if !is_complete(framing, size, announced) {
         return Err(BodyError::Truncated(size));
     }
-    let mut whole = BytesMut::with_capacity(size as usize);
-    chunks.iter().for_each(|c| whole.extend_from_slice(c));
     Ok(Buffered::Whole(whole.freeze()))
 }
 
@@ -215,8 +218,12 @@
 
 /// The streamed form of [`Body`].
 pub struct Stream<G: Finish> {
-    chunks: VecDeque<Bytes>,
+    /// Read and not passed on yet.
+    gathered: BytesMut,
+    /// End of the wait for more, while less than [`SMALL_BYTES`] are gathered.
+    gather_end: Option<Pin<Box<Sleep>>>,
     rest: Incoming,
+    rest_ended: bool,
     framing: Framing,
     size: u64,
     announced: Option<u64>,
@@ -232,18 +239,20 @@
         Self::Whole(Some(bytes).filter(|b| !b.is_empty()))
     }
 
-    /// A body of `chunks` followed by `rest`; it fails at the deadline.
+    /// A body of `begin` followed by `rest`; it fails at the deadline.
     pub fn stream(
-        chunks: VecDeque<Bytes>,
+        begin: Bytes,
         rest: Incoming,
         framing: Framing,
         deadline: Instant,
         guard: G,
     ) -> Self {
         Self::Stream(Box::new(Stream {
-            size: chunks.iter().map(|c| c.len() as u64).sum(),
-            chunks,
+            size: begin.len() as u64,
+            gathered: begin.into(),
+            gather_end: None,
             rest,
+            rest_ended: false,
             framing,
             announced: None,
             sends_trailer: false,
@@ -283,9 +292,32 @@
         }
     }
 
+    /// What is gathered if it is worth passing on, or has waited long enough for more.
+    fn poll_gathered(&mut self, cx: &mut Context<'_>) -> Polled {
+        if self.gathered.is_empty() {
+            return Poll::Pending;
+        }
+        if self.gathered.len() < SMALL_BYTES {
+            let start = || Box::pin(sleep_until(Instant::now() + GATHER_TIME));
+            let gather_end = self.gather_end.get_or_insert_with(start);
+            if !gather_end.as_mut().poll_ready(cx) {
+                return Poll::Pending;
+            }
+        }
+        let data = self.take_gathered();
+        Poll::Ready(data.map(|data| Ok(Frame::data(data))))
+    }
+
+    fn take_gathered(&mut self) -> Option<Bytes> {
+        self.gather_end = None;
+        let data = self.gathered.split().freeze();
+        self.finish_at_length();
+        Some(data).filter(|data| !data.is_empty())
+    }
+
     /// Finishes at the announced length, because the HTTP library does not poll beyond it.
     fn finish_at_length(&mut self) {
-        if self.chunks.is_empty() && self.framing == Framing::Length(self.size) {
+        if self.gathered.is_empty() && self.framing == Framing::Length(self.size) {
             self.finish(Ending::Complete);
         }
     }
@@ -313,17 +345,25 @@
         if self.ended {
             return Poll::Ready(None);
         }
-        if let Some(chunk) = self.chunks.pop_front() {
-            self.finish_at_length();
-            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        if self.gathered.len() >= GATHERED_MAX_BYTES || self.rest_ended {
+            if let Some(data) = self.take_gathered() {
+                return Poll::Ready(Some(Ok(Frame::data(data))));
+            }
+            return self.end();
         }
         if self.deadline.as_mut().poll_ready(cx) {
             self.finish(Ending::TimedOut);
             return Poll::Ready(Some(Err(BodyError::TimedOut)));
         }
         loop {
-            let Some(frame) = ready!(Pin::new(&mut self.rest).poll_frame(cx)) else {
-                return self.end();
+            let frame = match Pin::new(&mut self.rest).poll_frame(cx) {
+                Poll::Ready(frame) => frame,
+                Poll::Pending => return self.poll_gathered(cx),
+            };
+            let Some(frame) = frame else {
+                self.rest_ended = true;
+                let data = self.take_gathered();
+                return data.map_or_else(|| self.end(), |d| Poll::Ready(Some(Ok(Frame::data(d)))));
             };
             let frame = match frame {
                 Ok(frame) => frame,
@@ -335,8 +375,18 @@
             match frame.into_data() {
                 Ok(data) => {
                     self.size += data.len() as u64;
-                    self.finish_at_length();
-                    return Poll::Ready(Some(Ok(Frame::data(data))));
+                    // A frame of one byte takes the memory of far more at each node, so small ones
+                    // are passed on together.
+                    if self.gathered.is_empty() && data.len() >= SMALL_BYTES {
+                        self.finish_at_length();
+                        return Poll::Ready(Some(Ok(Frame::data(data))));
+                    }
+                    self.gathered.extend_from_slice(&data);
+                    let is_last = self.framing == Framing::Length(self.size);
+                    if self.gathered.len() >= GATHERED_MAX_BYTES || is_last {
+                        let data = self.take_gathered().unwrap_or_default();
+                        return Poll::Ready(Some(Ok(Frame::data(data))));
+                    }
                 }
                 Err(frame) => self.announced = frame.trailers_ref().and_then(trailer_length),
             }
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -360,9 +360,9 @@
         Ok(Ok(Buffered::Whole(bytes))) => {
             finish(pick, Reply::complete(head, Body::whole(bytes), 0))
         }
-        Ok(Ok(Buffered::Partial(chunks, rest))) => {
+        Ok(Ok(Buffered::Partial(begin, rest))) => {
             let guard = Guard::Peer(Some(pick));
-            let body = Body::stream(chunks, rest, framing, context.deadline, guard);
+            let body = Body::stream(begin, rest, framing, context.deadline, guard);
             Reply::complete(head, body, 0)
         }
     }
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -300,14 +300,14 @@
                 self.permit.finish(own, end);
                 Body::whole(bytes)
             }
-            Buffered::Partial(chunks, rest) => {
+            Buffered::Partial(begin, rest) => {
                 let guard = Guard::Server {
-                    lease: lease.detach(),
+                    lease: lease.detach(self.context.deadline),
                     permit: self.permit,
                     own_time: own,
                     health: Rc::clone(&self.mesh.health),
                 };
-                Body::stream(chunks, rest, framing, self.context.deadline, guard)
+                Body::stream(begin, rest, framing, self.context.deadline, guard)
             }
         };
         if !not_run {
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     sync::{Notify, oneshot},
-    time::{Instant, timeout},
+    time::{Instant, timeout, timeout_at},
 };
 
 use super::{
@@ -234,12 +234,14 @@
     }
 
     /// Leaves the connection to a task, so that the rest of the body can be read without the lease.
-    pub fn detach(self) -> DetachedLease {
+    /// It is closed at the deadline, also if the caller reads nothing.
+    pub fn detach(self, deadline: Instant) -> DetachedLease {
         let (done, ended) = oneshot::channel();
         let tasks = self.tasks.clone();
         tasks.spawn(async move {
             let mut lease = self;
-            if lease.drive(ended).await.is_ok() {
+            let ended = timeout_at(deadline, lease.drive(ended)).await;
+            if matches!(ended, Ok(Ok(()))) {
                 lease.reuse();
             }
         });
--- a/src/transport/remote.rs
+++ b/src/transport/remote.rs
@@ -174,8 +174,8 @@
             let reply = Reply::complete(head, Body::whole(bytes), unused);
             attempt.finish(Reply { ticket, ..reply }, AttemptEnd::Answered)
         }
-        Ok(Ok(Buffered::Partial(chunks, rest))) => attempt.streaming(|guard| {
-            let body = Body::stream(chunks, rest, framing, call.deadline, guard);
+        Ok(Ok(Buffered::Partial(begin, rest))) => attempt.streaming(|guard| {
+            let body = Body::stream(begin, rest, framing, call.deadline, guard);
             Reply::complete(head, body, unused)
         }),
     }
--- a/src/transport/serve.rs
+++ b/src/transport/serve.rs
@@ -315,14 +315,14 @@
             closed.permit.finish(closed.own_time, end);
             Body::whole(bytes)
         }
-        Buffered::Partial(chunks, rest) => {
+        Buffered::Partial(begin, rest) => {
             let guard = Guard::Server {
-                lease: lease.detach(),
+                lease: lease.detach(call.deadline),
                 permit: closed.permit,
                 own_time: closed.own_time,
                 health: plane.health.clone(),
             };
-            Body::stream(chunks, rest, framing, call.deadline, guard)
+            Body::stream(begin, rest, framing, call.deadline, guard)
         }
     };
     if !shed {
