Mesh: tell the readers of the store of each change that a sentinel reads

Cause: a silence is noticed by the sentinels' short watches, or by the first of many overdue watches. Neither happens when the connections of a few other readers fall silent alone.

The sentinels now tell the other readers of each change that they read. A reader whose own watch does not return it within 300 ms renews the watch on a new connection, as for revisions that it learns from requests.

Before, on: readers_that_alone_fall_silent_are_not_late fails with one silent reader of 14 (change after 500 ms); the seven other tests of tests/silent_parts.rs pass, also with the product unchanged.

--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -50,6 +50,8 @@
 /// Present when a node tells another one that its connections to the platform's store had fallen
 /// silent.
 pub const STORE_SILENT: &str = "cb-store-silent";
+/// Present when a node tells another one that it has read a change of the platform's store.
+pub const STORE_CHANGED: &str = "cb-store-changed";
 /// Longest useful wait in the queue, in ms.
 pub const MAX_WAIT_MS: &str = "cb-patience-ms";
 /// Importance of the client request.
--- a/src/transport/memory/conn.rs
+++ b/src/transport/memory/conn.rs
@@ -55,6 +55,8 @@
     reader_closed: Option<Instant>,
     /// Whether the last segment, `Fin` or `Reset`, has been sent.
     finished: bool,
+    /// Whether nothing arrives any more, although no end shows an error.
+    silent: bool,
 }
 
 impl Pipe {
@@ -70,6 +72,7 @@
             writer: None,
             reader_closed: None,
             finished: false,
+            silent: false,
         }))
     }
 
@@ -78,6 +81,16 @@
         (self.from, self.to)
     }
 
+    /// Port of the listener that accepted the connection.
+    pub(super) fn port(&self) -> u16 {
+        self.port
+    }
+
+    /// Delivers nothing from now on, also no end of the connection.
+    pub(super) fn silence(&mut self) {
+        self.silent = true;
+    }
+
     /// Resumes delivery when a cut ends. Data that the cut has delayed arrives with the next
     /// retransmission of the sender.
     pub(super) fn resume(&mut self, now: Instant, latency: Duration) {
@@ -167,7 +180,7 @@
         let inbound = this.inbound.clone();
         let mut pipe = inbound.borrow_mut();
         let (from, to, port) = (pipe.from, pipe.to, pipe.port);
-        let blocked = this.network.blocked(from, to);
+        let blocked = pipe.silent || this.network.blocked(from, to);
         let Some(front) = pipe.queue.front_mut() else {
             pipe.reader = Some(cx.waker().clone());
             return Poll::Pending;
@@ -206,7 +219,7 @@
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
         let mut pipe = self.outbound.borrow_mut();
-        let back_blocked = self.network.blocked(pipe.to, pipe.from);
+        let back_blocked = pipe.silent || self.network.blocked(pipe.to, pipe.from);
         let has_arrived = |at: Instant| at <= Instant::now() && !back_blocked;
         if pipe.finished || pipe.reader_closed.is_some_and(has_arrived) {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
--- a/src/transport/memory/network.rs
+++ b/src/transport/memory/network.rs
@@ -174,6 +174,18 @@
         state.pipes.iter().filter_map(Weak::upgrade).collect()
     }
 
+    /// Silences the connections to listeners with this port that are open now: nothing arrives on
+    /// them any more, without an error. New connections work.
+    pub fn silence_open(&self, port: u16) {
+        let state = self.0.borrow();
+        for pipe in state.pipes.iter().filter_map(Weak::upgrade) {
+            let mut pipe = pipe.borrow_mut();
+            if pipe.port() == port {
+                pipe.silence();
+            }
+        }
+    }
+
     /// Whether a cut blocks data from one host to another.
     pub fn blocked(&self, from: IpAddr, to: IpAddr) -> bool {
         let state = self.0.borrow();
--- a/src/transport/mesh/alarm.rs
+++ b/src/transport/mesh/alarm.rs
@@ -1,9 +1,10 @@
-//! Alarm of a node whose connection to the platform's store has fallen silent.
+//! Messages to the readers whose connections to the platform's store may have fallen silent.
 //!
 //! Such a connection shows no error: a change that the store would send on it never arrives. What
 //! silences the connection of one node may have silenced those of all, and only an overdue answer
 //! shows it. The node that notices first tells the other readers, which then renew their watches on
-//! new connections.
+//! new connections. The connections of some readers may also fall silent without those of the
+//! sentinels; the sentinels therefore tell the others of each change that they read.
 
 use std::{rc::Rc, time::Duration};
 
@@ -29,6 +30,16 @@
 
 /// Tells the other readers that the connection to the store had fallen silent.
 pub async fn raise<N: Net, D>(mesh: Rc<Mesh<N, D>>) {
+    tell_readers(&mesh, header::STORE_SILENT).await;
+}
+
+/// Tells the other readers that this node has read a change. Those whose watches don't return it
+/// soon renew them.
+pub async fn announce_change<N: Net, D>(mesh: Rc<Mesh<N, D>>) {
+    tell_readers(&mesh, header::STORE_CHANGED).await;
+}
+
+async fn tell_readers<N: Net, D>(mesh: &Mesh<N, D>, message: &'static str) {
     let own = mesh.own_peer();
     let readers = mesh.readers.borrow().clone();
     let others = readers.into_iter().filter(|reader| *reader != own);
@@ -38,7 +49,7 @@
             else {
                 return;
             };
-            write(request.headers_mut(), header::STORE_SILENT, &1);
+            write(request.headers_mut(), message, &1);
             mesh.write_progress(request.headers_mut());
             let sent = mesh.links.send(reader, request);
             if matches!(timeout(ANSWER_TIMEOUT, sent).await, Ok(Ok(_))) {
@@ -46,21 +57,24 @@
             }
             mesh.links.renew(reader);
         }
-        log::info!(node:% = reader; "node could not be told that connections to the store fall silent");
+        log::info!(node:% = reader, message; "node could not be told about the store");
     });
     join_all(sent).await;
 }
 
-/// Whether a request of another node is an alarm.
+/// Whether a request of another node is one of these messages.
 pub fn is_request(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::STORE_SILENT)
+    headers.contains_key(header::STORE_SILENT) || headers.contains_key(header::STORE_CHANGED)
 }
 
-/// Makes this node renew its watch at the store.
+/// Makes this node renew its watch at the store: at once after a silence, and after a change only if
+/// its watch doesn't return it soon.
 pub fn answer<N: Net, D>(mesh: &Mesh<N, D>, headers: &HeaderMap) -> Response<Body> {
     mesh.read_progress(headers);
-    mesh.counters.add(Counter::ConfigAlarms, 1);
-    mesh.store_alarm.notify_one();
+    if headers.contains_key(header::STORE_SILENT) {
+        mesh.counters.add(Counter::ConfigAlarms, 1);
+        mesh.store_alarm.notify_one();
+    }
     let mut response = Response::new(Body::whole(Bytes::new()));
     *response.status_mut() = StatusCode::NO_CONTENT;
     response
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -150,6 +150,7 @@
                     revision = Some(at.revision);
                     backoff = BACKOFF_MIN_MS;
                     if changed && reader.is_none() {
+                        self.announce_change();
                         pause = self.pause(pause, is_list, started.elapsed());
                         sleep(pause).await;
                     }
@@ -417,6 +418,14 @@
         }
     }
 
+    /// Tells the other readers of a change if this node is one of those that notice a silence soon.
+    fn announce_change(&self) {
+        if self.mesh.is_sentinel() {
+            let announcement = alarm::announce_change(self.mesh.clone());
+            self.alarms.spawn(announcement);
+        }
+    }
+
     fn record_recovery(&mut self, at: StoreRevision) {
         let Some(since) = self.lost_since.take() else {
             return;
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -23,6 +23,8 @@
     conns: RefCell<Vec<(IpAddr, Rc<std::cell::Cell<bool>>)>>,
     /// Number of watch requests received.
     pub watches: std::cell::Cell<usize>,
+    /// Time that the store takes for each answer.
+    pub delay: std::cell::Cell<Duration>,
     /// Nodes that the store answers with 503.
     pub turned_away: RefCell<std::collections::BTreeSet<IpAddr>>,
 }
@@ -126,6 +128,7 @@
             let (store, silent) = (store.clone(), silent.clone());
             async move {
                 let mut answer = answer(&store, request.uri().path()).await;
+                tokio::time::sleep(store.delay.get()).await;
                 if store.turned_away.borrow().contains(&from.ip()) {
                     *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
                 }
