Organisations: names, priorities, limits and keys as checked data

Cause: the configuration may define organisations, each with keys, a priority and a limit; neither a type nor a place in the routes holds them.

Change: OrganisationName (any visible ASCII, up to 63 bytes), state::mesh::organisation (organisations, and a table of keyed hashes of their keys, which is never printed), state::mesh::precedence (combines the priority of an organisation and of a route into one importance), RouteTable::organisations and Route::is_exempt. Nothing uses them yet.

--- a/src/state/error.rs
+++ b/src/state/error.rs
@@ -6,6 +6,9 @@
     /// A name with invalid characters or an invalid length.
     #[error("could not read name {0:?}: expected 1 to 63 of a-z, 0-9, '-' and '.'")]
     Name(String),
+    /// A name given by an operator with invalid characters or an invalid length.
+    #[error("could not read name {0:?}: expected 1 to 63 visible ASCII characters")]
+    VisibleName(String),
     /// Text that is not the hexadecimal form of an identifier.
     #[error("could not read {what} from {text:?}: expected {digits} hexadecimal digits")]
     Hex {
--- a/src/state/id.rs
+++ b/src/state/id.rs
@@ -14,11 +14,23 @@
     !text.is_empty() && text.len() <= NAME_MAX_BYTES && text.bytes().all(allowed)
 }
 
+/// Whether `text` is a name given by an operator, who may use any visible ASCII character.
+fn is_visible_name(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_graphic();
+    !text.is_empty() && text.len() <= NAME_MAX_BYTES && text.bytes().all(allowed)
+}
+
 macro_rules! name {
     ($(#[$doc:meta])* $type:ident) => {
+        name!(
+            $(#[$doc])*
+            ///
+            /// One to 63 characters of `a-z`, `0-9`, `-` and `.`.
+            $type, is_name, Name
+        );
+    };
+    ($(#[$doc:meta])* $type:ident, $check:ident, $error:ident) => {
         $(#[$doc])*
-        ///
-        /// One to 63 characters of `a-z`, `0-9`, `-` and `.`.
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
         pub struct $type(std::rc::Rc<str>);
@@ -34,8 +46,8 @@
             type Err = Error;
 
             fn from_str(text: &str) -> Result<Self> {
-                if !is_name(text) {
-                    return Err(Error::Name(text.to_owned()));
+                if !$check(text) {
+                    return Err(Error::$error(text.to_owned()));
                 }
                 Ok(Self(text.into()))
             }
@@ -99,6 +111,22 @@
     /// Name of a deployment.
     DeploymentName
 );
+name!(
+    /// Name of an organisation that sends requests.
+    ///
+    /// One to 63 visible ASCII characters. The names are given by operators, and a name that is
+    /// refused makes their whole configuration unusable.
+    ///
+    /// ```
+    /// use comfreybay::state::id::OrganisationName;
+    /// assert!("Pulo_780".parse::<OrganisationName>().is_ok());
+    /// assert!("".parse::<OrganisationName>().is_err());
+    /// assert!("two words".parse::<OrganisationName>().is_err());
+    /// ```
+    OrganisationName,
+    is_visible_name,
+    VisibleName
+);
 
 macro_rules! hex_id {
     ($(#[$doc:meta])* $type:ident, $bytes:literal, $what:literal) => {
--- a/src/state/mesh/mod.rs
+++ b/src/state/mesh/mod.rs
@@ -4,6 +4,8 @@
 pub mod calls;
 pub mod changelog;
 pub mod downstream;
+pub mod organisation;
+pub mod precedence;
 pub mod progress;
 pub mod readers;
 pub mod registry;
--- a/src/state/mesh/route.rs
+++ b/src/state/mesh/route.rs
@@ -6,6 +6,11 @@
 
 use crate::state::id::{ClassName, Revision, ServiceName};
 
+use super::{
+    organisation::{Organisation, Organisations},
+    precedence::Precedence,
+};
+
 /// Errors in a set of routes.
 #[derive(Debug, Error, Clone, PartialEq, Eq)]
 pub enum Error {
@@ -56,6 +61,8 @@
     pub attempts: u32,
     /// Importance; 0 is the most important.
     pub importance: u8,
+    /// Whether its requests need no key of an organisation.
+    pub is_exempt: bool,
 }
 
 /// Limits on what callers may send.
@@ -82,6 +89,8 @@
     services: BTreeMap<ServiceName, Service>,
     bounds: Bounds,
     most_important: Option<u8>,
+    organisations: Option<Organisations>,
+    precedence: Precedence,
 }
 
 impl RouteTable {
@@ -112,9 +121,36 @@
             services,
             bounds,
             most_important,
+            organisations: None,
+            precedence: Precedence::default(),
         })
     }
 
+    /// The same set with organisations, one of which each request on a route that is not exempt
+    /// must belong to.
+    #[must_use]
+    pub fn with_organisations(mut self, organisations: Organisations) -> Self {
+        let priorities = organisations.iter().map(|o| o.priority);
+        let routes = self.routes().map(|route| route.importance);
+        self.precedence = Precedence::new(priorities, routes);
+        self.most_important = self
+            .most_important
+            .map(|route| self.precedence.most_important(route));
+        self.organisations = Some(organisations);
+        self
+    }
+
+    /// The organisations that may send requests; `None` if requests need no key.
+    pub fn organisations(&self) -> Option<&Organisations> {
+        self.organisations.as_ref()
+    }
+
+    /// The importance of a request of an organisation on a route; 0 is the highest.
+    pub fn importance(&self, route: &Route, organisation: Option<&Organisation>) -> u8 {
+        let priority = organisation.and_then(|o| o.priority);
+        self.precedence.importance(priority, route.importance)
+    }
+
     /// The revision of the set.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -135,7 +171,7 @@
         self.hosts.values().flat_map(BTreeMap::values)
     }
 
-    /// The importance of the most important routes; 0 is the highest. `None` without routes.
+    /// The importance of the most important requests; 0 is the highest. `None` without routes.
     pub fn most_important(&self) -> Option<u8> {
         self.most_important
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -168,6 +168,7 @@
         target: ms(500),
         attempts: 2,
         importance: 0,
+        is_exempt: false,
     }
 }
 
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -57,6 +57,7 @@
         target: Duration::from_secs(1),
         attempts: 2,
         importance: 1,
+        is_exempt: false,
     }
 }
 
