Level: tell up to 256 importances apart

Cause: the level controller has bins for 16 importances and treats higher ones as the last. Priorities of organisations combined with those of routes give more; a level would then exclude most of them at once.

Change: bins are added for the importances that arrive, 512 bytes each.

--- a/src/state/level/meter.rs
+++ b/src/state/level/meter.rs
@@ -4,11 +4,13 @@
 
 use super::super::priority::{Level, Priority};
 
-/// Number of distinct importances; higher values are treated as the last one.
-const IMPORTANCES: usize = 16;
-/// Number of low-order priority bits that one bin covers: 128 bins per importance.
+/// Number of importances that a controller has bins for at the start.
+const IMPORTANCES_START: usize = 16;
+/// Highest importance of a priority.
+const IMPORTANCE_MAX: usize = 255;
+/// Number of low-order priority bits that one bin covers.
 const BIN_BITS: u32 = 17;
-const BINS: usize = IMPORTANCES << (24 - BIN_BITS);
+const BINS_PER_IMPORTANCE: usize = 1 << (24 - BIN_BITS);
 /// Factor by which arrivals and completions are multiplied after each window.
 const DECAY: f32 = 0.6;
 /// Requests to admit per completion; above 1 so that the server is kept busy.
@@ -60,8 +62,8 @@
 /// Computes the level of one gate from its arrivals and completions, once per window of 100 ms.
 #[derive(Debug)]
 pub struct LevelController {
-    /// Recent arrivals by bin of their priority.
-    arrivals: Box<[f32]>,
+    /// Recent arrivals by bin of their priority, up to the highest importance that has arrived.
+    arrivals: Vec<f32>,
     completions: f32,
     /// Highest importance value seen among important requests.
     important_max: Option<u8>,
@@ -71,7 +73,7 @@
     ratio: f32,
     level: Level,
     /// Consecutive windows in which the level excluded requests of each importance.
-    refused_windows: [u32; IMPORTANCES],
+    refused_windows: Vec<u32>,
 }
 
 impl Default for LevelController {
@@ -84,19 +86,25 @@
     /// Creates a controller whose level admits every request.
     pub fn new() -> Self {
         Self {
-            arrivals: vec![0.0; BINS].into(),
+            arrivals: vec![0.0; IMPORTANCES_START * BINS_PER_IMPORTANCE],
             completions: 0.0,
             important_max: None,
             cut_windows: 0,
             ratio: RATIO_START,
             level: Level::OPEN,
-            refused_windows: [0; IMPORTANCES],
+            refused_windows: vec![0; IMPORTANCES_START],
         }
     }
 
     /// Counts a request that arrived, whether it is admitted or not.
     pub fn record_arrival(&mut self, priority: Priority, important: bool) {
-        self.arrivals[bin(priority)] += 1.0;
+        let importances = usize::from(priority.importance()) + 1;
+        if importances > self.refused_windows.len() {
+            self.refused_windows.resize(importances, 0);
+            let bins = importances * BINS_PER_IMPORTANCE;
+            self.arrivals.resize(bins, 0.0);
+        }
+        self.arrivals[(priority.value() >> BIN_BITS) as usize] += 1.0;
         if important {
             self.important_max = self.important_max.max(Some(priority.importance()));
         }
@@ -142,8 +150,8 @@
     /// Base value of `Retry-After`: 0.5 s, doubling with the time for which the level has excluded
     /// the importance of this priority, up to 8 s.
     pub fn retry_after(&self, priority: Priority) -> Duration {
-        let importance = usize::from(priority.importance()).min(IMPORTANCES - 1);
-        let refused_ms = u64::from(self.refused_windows[importance]) * WINDOW_MS;
+        let windows = self.refused_windows.get(usize::from(priority.importance()));
+        let refused_ms = u64::from(windows.copied().unwrap_or_default()) * WINDOW_MS;
         let doublings = (refused_ms / RETRY_AFTER_MIN_MS + 1)
             .ilog2()
             .min(RETRY_AFTER_DOUBLINGS);
@@ -199,14 +207,10 @@
 /// The highest priority value of an importance.
 fn highest(importance: u8) -> u32 {
     match usize::from(importance) {
-        n if n < IMPORTANCES - 1 => ((n as u32 + 1) << 24) - 1,
+        n if n < IMPORTANCE_MAX => ((n as u32 + 1) << 24) - 1,
         _ => u32::MAX,
     }
 }
 
-fn bin(priority: Priority) -> usize {
-    ((priority.value() >> BIN_BITS) as usize).min(BINS - 1)
-}
-
 #[cfg(test)]
 mod tests;
