Organisations: keys on the request path, and priorities before those of routes

Cause: nodes forward the callers' keys to backend servers and ask nobody for one; requests of all organisations are equal.

The outbound listener answers 401 unsent for a missing or unknown key, removes key and claimed name, and sends the organisation's name between nodes, on retries and to the server. Calls take the organisation of the request that they are made for, which now counts as running until its streamed answer has ended. The importance of a request combines both priorities. Without organisations in the configuration, headers are forwarded as before.

Before the change of the running requests, a call made while an answer was streamed was taken for a caller's.

--- a/src/protocol/directory.rs
+++ b/src/protocol/directory.rs
@@ -34,6 +34,8 @@
     pub leaving: HeaderName,
     /// Service of the instance where the request originated.
     pub origin_service: HeaderName,
+    /// Name of the organisation that a request belongs to, for the backend server.
+    pub organisation: HeaderName,
     /// Separates the id of a request from the suffix in the ids of the calls made for it.
     pub call_separator: char,
 }
--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -34,6 +34,8 @@
 pub const ARRIVED: &str = "cb-arrived";
 /// Service of the instance where a request originated.
 pub const ORIGIN: &str = "cb-origin";
+/// Name of the organisation that a request belongs to; absent if it belongs to none.
+pub const ORGANISATION: &str = "cb-organisation";
 /// Id of the only backend server that may run the request.
 pub const INSTANCE: &str = "cb-instance";
 /// Rate limit that the backend server announced to the sending node, in requests per second.
--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -83,6 +83,8 @@
     RefusedDown "refused.down" "calls" Total "Refused because the backend server is down.",
     RefusedChain "refused.chain" "calls" Total "Refused early because a service of the chain refuses the class.",
     RefusedNoRoute "refused.no-route" "calls" Total "Refused because no chain or no upstream matches.",
+    RefusedNoKey "refused.no-key" "calls" Total "Calls of callers refused because they carried no key of an organisation.",
+    RefusedUnknownKey "refused.unknown-key" "calls" Total "Calls of callers refused because no organisation has their key.",
     RefusedNoTicket "refused.no-ticket" "calls" Total "Refused because a non-repeatable call carried no ticket.",
     RefusedEgress "refused.egress" "calls" Total "Egress calls refused because their call token is not in progress.",
     RefusedRepeat "refused.repeat" "calls" Total "Egress calls refused as a repeat of a non-repeatable call.",
@@ -151,6 +153,8 @@
     ConfigPulls "config.pulls" "parts" Total "Parts pulled from peers.",
     ConfigReader "config.reader" "flag" Gauge "1 while this node reads the configuration service for its zone.",
     ConfigApplyMs "config.apply-ms" "ms" Gauge "Time from first notice of the last revision to its effect.",
+    Organisations "config.organisations" "organisations" Gauge "Organisations in the routes in effect.",
+    OrganisationKeys "config.organisation-keys" "keys" Gauge "Keys of organisations in the routes in effect.",
 
     Peers "peers.known" "peers" Gauge "Peers that heartbeats are exchanged with.",
     PeersLost "peers.lost" "events" Total "Times that a peer was found down.",
--- a/src/transport/mesh/context.rs
+++ b/src/transport/mesh/context.rs
@@ -11,7 +11,7 @@
         header,
     },
     state::{
-        id::{ClassName, RootId, ServiceName},
+        id::{ClassName, OrganisationName, RootId, ServiceName},
         mesh::backend::InstanceId,
         priority::Priority,
     },
@@ -43,6 +43,8 @@
     pub max_wait: Duration,
     /// Service of the instance that sent it.
     pub origin: ServiceName,
+    /// Organisation of the client request, if it belongs to one.
+    pub organisation: Option<OrganisationName>,
     /// The request itself.
     pub request: BufferedRequest,
 }
@@ -73,6 +75,9 @@
         write(headers, header::MAX_WAIT_MS, &self.max_wait.as_millis());
         write(headers, header::ORIGIN, &self.origin);
         write(headers, header::INSTANCE, instance);
+        if let Some(organisation) = &self.organisation {
+            write(headers, header::ORGANISATION, organisation);
+        }
         if self.begun {
             write(headers, header::BEGUN, &1);
         }
@@ -97,6 +102,7 @@
     timeout: Duration,
     max_wait: Duration,
     origin: ServiceName,
+    organisation: Option<OrganisationName>,
     /// The only backend server that may run it.
     pub instance: InstanceId,
 }
@@ -117,6 +123,7 @@
             timeout: read_time(headers, header::TIMEOUT_MS)?,
             max_wait: read_time(headers, header::MAX_WAIT_MS)?,
             origin: read_required(headers, header::ORIGIN)?,
+            organisation: read(headers, header::ORGANISATION)?,
             instance: read_required(headers, header::INSTANCE)?,
         })
     }
@@ -137,6 +144,7 @@
             deadline: arrived + self.timeout,
             max_wait: self.max_wait,
             origin: self.origin,
+            organisation: self.organisation,
             request,
         };
         (context, self.instance)
--- a/src/transport/mesh/metrics.rs
+++ b/src/transport/mesh/metrics.rs
@@ -131,6 +131,7 @@
         let now = Instant::now();
         let registry = mesh.registry.borrow();
         let routes = mesh.routes.borrow();
+        let organisations = routes.as_ref().and_then(|table| table.organisations());
         json!({
             "name": mesh.settings.name,
             "service": mesh.settings.service,
@@ -142,6 +143,10 @@
                 "read_to": mesh.counters.get(Counter::ConfigReadTo),
             },
             "routes": routes.as_ref().map(|table| table.revision()),
+            "organisations": organisations.map(|all| json!({
+                "count": all.len(),
+                "keys": all.key_count(),
+            })),
             "gate": {
                 "load": mesh.gate.load().to_string(),
                 "level": mesh.gate.level(),
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -7,6 +7,7 @@
 mod alarm;
 mod announce;
 mod attempt;
+mod auth;
 mod context;
 mod follow;
 mod inbound;
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -8,18 +8,17 @@
 
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode,
-    header::{CONNECTION, HOST, RETRY_AFTER},
+    header::{CONNECTION, HOST, RETRY_AFTER, WWW_AUTHENTICATE},
     request::Parts,
 };
 use hyper::body::Incoming;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     coordination::gate::RefusalReason,
     protocol::{hop::remove_internal, outcome::Outcome},
     state::{
         counters::Counter,
-        id::RootId,
         mesh::{
             calls::{self, Parent},
             route::{Route, RouteTable},
@@ -35,6 +34,7 @@
         server::{HEAD_TIMEOUT_MS, Handler},
     },
     attempt,
+    auth::{self, KeyError},
     context::RequestContext,
     local::{LocalBody, LocalRequestGuard},
     shared::Mesh,
@@ -56,6 +56,11 @@
 /// Retry delay sent to callers when the admission level of a downstream service excludes the
 /// request.
 const EXCLUDED_RETRY_MS: u64 = 1_000;
+/// Longest body of a request without a known key that is read and discarded, so that the connection
+/// can be used again. Beyond it, the connection is closed after the response.
+const REFUSED_BODY_MAX_BYTES: usize = 64 * 1_024;
+/// Time limit for reading such a body. A caller sends a body of this size in one piece.
+const REFUSED_BODY_TIMEOUT_MS: u64 = 200;
 /// Upper bound on the remaining time that a caller sends; also used when it sends none.
 const TIME_LEFT_MAX_MS: u64 = 3_600_000;
 
@@ -110,6 +115,18 @@
             let reply = Reply::not_run(0, "no-route", Duration::ZERO);
             return reply.with_status(StatusCode::NOT_FOUND);
         };
+        let id = head.headers.get(&mesh.names.attempt_id);
+        let id = id.and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let separator = mesh.names.call_separator;
+        let parent = mesh.calls.borrow().parent(id, separator).cloned();
+        let root = calls::root_id(id, separator);
+        let mut organisation = None;
+        if parent.is_none() {
+            match auth::organisation(&table, &route, &head.headers) {
+                Ok(found) => organisation = found,
+                Err(error) => return self.refuse_unread(error, head, body).await,
+            }
+        }
         let max_bytes = table.bounds().body_bytes;
         let buffered = BufferedRequest::read_up_to(max_bytes, head, body, &mesh.buffered).await;
         let mut request = match buffered {
@@ -124,6 +141,16 @@
                 return reply;
             }
         };
+        // A key that was removed while the body arrived is not accepted.
+        if organisation.is_some()
+            && let Some(current) = self.changed_table(&table)
+        {
+            match auth::organisation(&current, &route, &request.headers) {
+                Ok(found) => organisation = found,
+                Err(error) => return self.refuse(error),
+            }
+        }
+        auth::remove_claims(&table, &mesh.names, &mut request.headers);
         for name in [
             &mesh.names.expected_instance,
             &mesh.names.origin_service,
@@ -131,16 +158,19 @@
         ] {
             request.headers.remove(name);
         }
-        let id = request.headers.get(&mesh.names.attempt_id);
-        let id = id.and_then(|v| v.to_str().ok()).unwrap_or_default();
-        let parent = mesh
-            .calls
-            .borrow()
-            .parent(id, mesh.names.call_separator)
-            .cloned();
-        let root = calls::root_id(id, mesh.names.call_separator);
         let deadline = arrived + left.min(route.timeout);
-        let mut context = self.request_context(&route, request, parent.as_ref(), root, deadline);
+        let importance = table.importance(&route, organisation.as_deref());
+        // The request of a caller; calls inherit from the one for which they are made.
+        let root = Parent {
+            root,
+            importance,
+            class: route.class.clone(),
+            organisation: organisation.map(|organisation| organisation.name.clone()),
+            repeated: false,
+        };
+        let begun = parent.is_some();
+        let inherited = parent.as_ref().unwrap_or(&root);
+        let mut context = self.request_context(&route, request, inherited, begun, deadline);
         let counter = if context.begun {
             Counter::EgressCalls
         } else {
@@ -164,28 +194,60 @@
         attempt::run(mesh, &route, &mut context, parent).await
     }
 
+    /// The table in effect, if it is another one than `table`.
+    fn changed_table(&self, table: &Rc<RouteTable>) -> Option<Rc<RouteTable>> {
+        let current = self.0.routes.borrow();
+        let current = current.as_ref()?;
+        (!Rc::ptr_eq(table, current)).then(|| current.clone())
+    }
+
+    /// Refuses a request for its key before its body is read.
+    async fn refuse_unread(&self, error: KeyError, head: Parts, body: Incoming) -> Reply {
+        let buffered = &self.0.buffered;
+        let reading = BufferedRequest::read_up_to(REFUSED_BODY_MAX_BYTES, head, body, buffered);
+        let time_limit = Duration::from_millis(REFUSED_BODY_TIMEOUT_MS);
+        let is_read = matches!(timeout(time_limit, reading).await, Ok(Ok(_)));
+        let mut reply = self.refuse(error);
+        if !is_read {
+            let close = HeaderValue::from_static("close");
+            reply.headers.insert(CONNECTION, close);
+        }
+        reply
+    }
+
+    /// Refuses a request for its key.
+    fn refuse(&self, error: KeyError) -> Reply {
+        self.0.counters.add(error.counter(), 1);
+        let reply = Reply::not_run(0, error.to_string(), Duration::ZERO);
+        let mut reply = reply.with_status(StatusCode::UNAUTHORIZED);
+        let scheme = HeaderValue::from_static("Bearer");
+        reply.headers.insert(WWW_AUTHENTICATE, scheme);
+        reply
+    }
+
     fn request_context(
         &self,
         route: &Route,
         request: BufferedRequest,
-        parent: Option<&Parent>,
-        root: RootId,
+        inherited: &Parent,
+        begun: bool,
         deadline: Instant,
     ) -> RequestContext {
-        let share = match parent {
-            Some(_) => CALL_WAIT_SHARE,
-            None => ROOT_WAIT_SHARE,
+        let share = match begun {
+            true => CALL_WAIT_SHARE,
+            false => ROOT_WAIT_SHARE,
         };
         RequestContext {
             class: route.class.clone(),
-            root: parent.map_or(root, |p| p.root),
-            importance: parent.map_or(route.importance, |p| p.importance),
-            begun: parent.is_some(),
-            repeated: parent.is_some_and(|p| p.repeated),
+            root: inherited.root,
+            importance: inherited.importance,
+            begun,
+            repeated: inherited.repeated,
             idempotent: route.idempotent,
             deadline,
             max_wait: route.target.mul_f64(share),
             origin: self.0.settings.service.clone(),
+            organisation: inherited.organisation.clone(),
             request,
         }
     }
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -16,7 +16,10 @@
     state::{
         counters::Counter,
         limit::CallEnd,
-        mesh::{backend::InstanceId, calls::Parent},
+        mesh::{
+            backend::InstanceId,
+            calls::{Parent, RunningRequest},
+        },
     },
 };
 
@@ -105,7 +108,8 @@
             return refused(mesh, context, RefusalReason::Stopping);
         }
         let running = RunningGuard::start(mesh, context);
-        let exchanged = exchange(mesh, context, instance, permit, lease).await;
+        let listed = running.listed.clone();
+        let exchanged = exchange(mesh, context, instance, permit, lease, listed).await;
         running.end();
         match exchanged {
             Exchange::HostEnd(reply) => return *reply,
@@ -136,6 +140,7 @@
     instance: &InstanceId,
     permit: Permit,
     mut lease: Lease<N>,
+    running: Rc<RunningRequest>,
 ) -> Exchange {
     let request = server_request(mesh, context, instance);
     mesh.counters.add(Counter::ServerCalls, 1);
@@ -153,6 +158,7 @@
         context,
         instance,
         permit,
+        running,
         sent,
     };
     match response {
@@ -162,11 +168,12 @@
     }
 }
 
-/// Lists a request in [`Mesh::calls`] while it runs at the backend server, and reports it if the end
-/// of the stop cancels it.
+/// Lists a request in [`Mesh::calls`] while it runs at the backend server, which may go on while its
+/// response is streamed, and reports it if the end of the stop cancels it.
 struct RunningGuard<'a, N: Net, D> {
     mesh: &'a Mesh<N, D>,
     context: &'a RequestContext,
+    listed: Rc<RunningRequest>,
     started: Instant,
     has_ended: bool,
 }
@@ -177,13 +184,15 @@
             root: context.root,
             importance: context.importance,
             class: context.class.clone(),
+            organisation: context.organisation.clone(),
             repeated: context.repeated,
         };
         let id = context.id(&mesh.names.attempt_id);
-        mesh.calls.borrow_mut().started(id, parent);
+        let listed = Rc::new(RunningRequest::start(&mesh.calls, id, parent));
         Self {
             mesh,
             context,
+            listed,
             started: Instant::now(),
             has_ended: false,
         }
@@ -197,8 +206,6 @@
 impl<N: Net, D> Drop for RunningGuard<'_, N, D> {
     fn drop(&mut self) {
         let (mesh, context) = (self.mesh, self.context);
-        let id = context.id(&mesh.names.attempt_id);
-        mesh.calls.borrow_mut().ended(id);
         if let Some(grace_end) = mesh.grace_end.get().filter(|_| !self.has_ended) {
             mesh.counters.add(Counter::ServerCut, 1);
             let left = grace_end.saturating_duration_since(Instant::now());
@@ -240,6 +247,9 @@
         mesh.names.expected_instance.clone(),
         text(instance.as_str()),
     );
+    if let Some(organisation) = &context.organisation {
+        headers.insert(mesh.names.organisation.clone(), text(organisation.as_str()));
+    }
     request
 }
 
@@ -249,6 +259,7 @@
     context: &'a RequestContext,
     instance: &'a InstanceId,
     permit: Permit,
+    running: Rc<RunningRequest>,
     sent: Instant,
 }
 
@@ -306,6 +317,7 @@
                     permit: self.permit,
                     own_time: own,
                     health: Rc::clone(&self.mesh.health),
+                    running: Some(self.running),
                 };
                 Body::stream(begin, rest, framing, self.context.deadline, guard)
             }
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -140,7 +140,7 @@
     /// Random number generator.
     pub rng: RefCell<fastrand::Rng>,
     /// Requests running at the backend server.
-    pub calls: RefCell<RunningRequests>,
+    pub calls: Rc<RefCell<RunningRequests>>,
     /// Admission levels reported by the responses to requests from this instance, by their class.
     pub local_levels: RefCell<DownstreamLevels>,
     /// Admission levels reported by the responses to calls of the backend server, by the class of
@@ -192,7 +192,7 @@
             latency: Latency::default(),
             buffered: Rc::default(),
             rng: RefCell::new(rng),
-            calls: RefCell::default(),
+            calls: Rc::default(),
             local_levels: RefCell::default(),
             call_levels: RefCell::default(),
             splits: RefCell::default(),
@@ -273,6 +273,12 @@
         self.call_levels.borrow_mut().clear();
         let revision = table.revision().0;
         self.counters.set(Counter::ConfigRevision, revision);
+        let (organisations, keys) = table
+            .organisations()
+            .map_or((0, 0), |all| (all.len(), all.key_count()));
+        self.counters
+            .set(Counter::Organisations, organisations as u64);
+        self.counters.set(Counter::OrganisationKeys, keys as u64);
         *self.routes.borrow_mut() = Some(Rc::new(table));
         self.apply_registry();
     }
--- a/src/transport/reply.rs
+++ b/src/transport/reply.rs
@@ -1,6 +1,6 @@
 //! The reply to a call inside a node, before a listener sends it as a response.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{
@@ -20,7 +20,7 @@
         hop::{remove_hop_by_hop, remove_internal},
         outcome::Outcome,
     },
-    state::{counters::Counter, limit::CallEnd, ticket::Ticket},
+    state::{counters::Counter, limit::CallEnd, mesh::calls::RunningRequest, ticket::Ticket},
 };
 
 use super::{
@@ -43,7 +43,9 @@
         /// Time in the server until the response head, without the time of its egress calls.
         own_time: Duration,
         /// Crash detection, to which a failed connection is reported.
-        health: std::rc::Rc<Health>,
+        health: Rc<Health>,
+        /// Lists the request until its response has ended, for the calls made on its behalf.
+        running: Option<Rc<RunningRequest>>,
     },
     /// The response comes from another node; the pick records the result of the attempt.
     Peer(Option<Pick>),
@@ -57,6 +59,7 @@
                 permit,
                 own_time: own,
                 health,
+                running: _,
             } => match ending {
                 Ending::Complete => {
                     lease.reuse();
--- a/src/transport/serve.rs
+++ b/src/transport/serve.rs
@@ -317,6 +317,7 @@
         }
         Buffered::Partial(begin, rest) => {
             let guard = Guard::Server {
+                running: None,
                 lease: lease.detach(call.deadline),
                 permit: closed.permit,
                 own_time: closed.own_time,
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -253,6 +253,11 @@
         "bind_addresses",
         "app_addr",
         "cold_left_s",
+        "x-tenant-id",
+        "tenant",
+        "api_keys",
+        "auth_exempt",
+        "burst_size",
     ];
     let mut files = vec![];
     sources(&root().join("src"), &mut files);
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -11,6 +11,7 @@
         id::{ServiceName, ZoneName},
         mesh::{
             backend::{Backend as Entry, Phase},
+            organisation::{Organisation, Organisations},
             route::{Bounds, Route, RouteTable, Service as Described, WeightedService},
             settings::{PlatformBounds, Settings as MeshSettings},
             window::Budget,
@@ -38,6 +39,7 @@
         rate_limit: name("x-rate-limit"),
         leaving: name("x-leaving"),
         origin_service: name("x-origin"),
+        organisation: name("x-organisation"),
         call_separator: '.',
     }
 }
@@ -72,6 +74,22 @@
     RouteTable::new(Revision(revision), routes, services, bounds).unwrap()
 }
 
+/// Organisations with one key each, without priorities.
+fn organisations(keys: &[(&str, &str)]) -> Organisations {
+    let organisation = |name: &str| Organisation {
+        name: name.parse().unwrap(),
+        priority: None,
+        quota: None,
+    };
+    let entry = |(name, key): &(&str, &str)| (organisation(name), vec![(*key).to_owned()]);
+    Organisations::new(keys.iter().map(entry).collect()).unwrap()
+}
+
+/// A table of routes with organisations, given as names and keys.
+pub fn with_keys(revision: u64, routes: Vec<Route>, keys: &[(&str, &str)]) -> RouteTable {
+    table(revision, routes).with_organisations(organisations(keys))
+}
+
 /// A node and its backend server.
 pub struct Pair {
     pub mesh: Rc<Mesh<MemoryNet, TestDirectory>>,
@@ -293,3 +311,35 @@
         .header("x-seal", "s");
     Reply::Answer(answer.body(Bytes::from(body.to_owned())).unwrap())
 }
+
+/// A connection that is kept open between requests.
+pub struct Connection(pub http1::SendRequest<Full<Bytes>>);
+
+impl Connection {
+    pub async fn open(net: &MemoryNet, to: SocketAddr) -> Self {
+        let conn = net.dial(to).await.unwrap();
+        let (sender, conn) = http1::handshake(TokioIo::new(conn)).await.unwrap();
+        tokio::task::spawn_local(conn);
+        Self(sender)
+    }
+
+    /// Sends a request with a key.
+    pub async fn status(&mut self, key: &str) -> StatusCode {
+        let request = Request::post("/a/")
+            .header("host", "h")
+            .header("x-id", "1")
+            .header("x-left", "1000")
+            .header("authorization", format!("Bearer {key}"))
+            .body(Full::new(Bytes::from_static(b"body")))
+            .unwrap();
+        let response = self.0.send_request(request).await.unwrap();
+        let status = response.status();
+        response.into_body().collect().await.unwrap();
+        status
+    }
+}
+
+/// Address of a node's listener for callers.
+pub fn outbound(fleet: &MeshFleet, name: &str) -> SocketAddr {
+    SocketAddr::new(fleet.pairs[name].entry.address.ip(), OUTBOUND)
+}
