--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -193,6 +193,40 @@
     assert!(admits(40) < 50, "{level:?}");
 }
 
+/// Guards against a large organisation that starves a small one of equal precedence: the level must
+/// admit at least a quarter of the share of all requests from each.
+#[test]
+fn small_organisation_is_not_starved() {
+    let mut controller = LevelController::new();
+    let mut rng = fastrand::Rng::with_seed(2);
+    let busy = QueueStats {
+        min_len: 5,
+        max_len: 50,
+        waited: 20,
+        late: true,
+        ..QueueStats::default()
+    };
+    // The first of every 20 requests is one of the small organisation.
+    let (mut sent, mut admitted) = ([0.0, 0.0], [0.0, 0.0]);
+    for _ in 0..300 {
+        for n in 0..60 {
+            let priority = Priority::new(3, false, RootId::random(&mut rng));
+            controller.record_arrival(priority, false);
+            let large = usize::from(n % 20 != 0);
+            sent[large] += 1.0;
+            if controller.level().admits(priority) {
+                admitted[large] += 1.0;
+            }
+        }
+        (0..10).for_each(|_| controller.record_completion());
+        controller.tick(busy);
+    }
+    let all = (admitted[0] + admitted[1]) / (sent[0] + sent[1]);
+    assert!(all < 0.5, "{all} of the requests were admitted");
+    let small = admitted[0] / sent[0];
+    assert!(small >= all / 4.0, "{small} of the small one, {all} of all");
+}
+
 proptest! {
     /// Guards against a route that outranks the priority of an organisation, against nodes that
     /// order requests differently, and against importances that wrap around above 256 combinations.
