Start pipelined requests before those ahead of them are answered

Cause: the HTTP library reads the next head of an HTTP/1.1 connection only after the response before it, so a pipelined request waited for all of its predecessors.

Change: an adapter around callers' connections holds back the bytes behind a request without a body and reads the heads in them. Requests without a body, with an idempotent method and route, are started at once and answered in order. Requests at once on a connection, bytes of waiting answers for a connection and the node, unread bytes and answers that wait beyond these bounds are limited. read_request and read_up_to take any body, as a request that is started ahead has no body of the HTTP library.

--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -67,6 +67,9 @@
     CallsCancelled "calls.cancelled" "calls" Total "Calls whose caller disconnected before the answer.",
     CallsOpen "calls.open" "calls" Gauge "Calls in progress in the call table.",
     CallsHeld "calls.held" "calls" Total "Calls held because the caller sent again before its time.",
+    AheadStarted "ahead.started" "calls" Total "Calls started before those ahead of them on their connection were answered.",
+    AheadHeld "ahead.held" "calls" Total "Calls behind another one on their connection that waited for their turn, because they may not be started ahead or a bound was reached.",
+    AheadGivenUp "ahead.given-up" "calls" Total "Calls started ahead that were answered as failed, because there was no room for their long answer to wait.",
     AnswersBroken "answers.broken" "answers" Total "Answers of a server that ended before their end.",
 
     RefusedLevel "refused.level" "calls" Total "Refused by the admission level.",
--- a/src/transport/body.rs
+++ b/src/transport/body.rs
@@ -178,12 +178,15 @@
 ///
 /// # Errors
 /// The body is too large or too slow, the memory for bodies is used up, or the connection fails.
-pub async fn read_request(
-    mut body: Incoming,
+pub async fn read_request<B>(
+    mut body: B,
     max_bytes: usize,
     time_limit: Duration,
     reservation: &mut BufferReservation,
-) -> Result<Bytes, BodyError> {
+) -> Result<Bytes, BodyError>
+where
+    B: http_body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyError::TooLarge(max_bytes));
     }
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -6,11 +6,13 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode,
     header::{CONNECTION, HOST, RETRY_AFTER},
     request::Parts,
 };
+use http_body_util::{BodyExt as _, Empty};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -30,8 +32,9 @@
 use super::{
     super::{
         net::Net,
+        pipeline::Shared,
         reply::{Body, Reply, reason_text},
-        request::BufferedRequest,
+        request::{BufferedRequest, validate},
         server::{HEAD_TIMEOUT_MS, Handler},
     },
     attempt,
@@ -59,6 +62,9 @@
 /// Upper bound on the remaining time that a caller sends; also used when it sends none.
 const TIME_LEFT_MAX_MS: u64 = 3_600_000;
 
+/// Reason of a failure for lack of room for a response that waits for an earlier one.
+const NO_ROOM: &str = "no-room-to-wait";
+
 /// Handles requests from callers on this instance and from the backend server.
 pub struct Outbound<N: Net, D>(pub Rc<Mesh<N, D>>);
 
@@ -80,10 +86,44 @@
         request: Request<Incoming>,
         _from: SocketAddr,
     ) -> Response<LocalBody> {
+        let (head, body) = request.into_parts();
+        self.answer(head, body).await
+    }
+
+    fn pipeline(&self) -> Option<Shared> {
+        Some(self.0.pipeline.clone())
+    }
+
+    fn starts_ahead(&self, head: &Parts) -> bool {
+        let routes = self.0.routes.borrow();
+        let route = routes.as_ref().and_then(|table| find_route(table, head));
+        !self.is_closing() && validate(head).is_ok() && route.is_some_and(|r| r.idempotent)
+    }
+
+    async fn handle_ahead(self: Rc<Self>, head: Parts, _from: SocketAddr) -> Response<LocalBody> {
+        let body = Empty::new().map_err(|never| match never {});
+        self.answer(head, body).await
+    }
+
+    fn give_up(&self) -> Option<Response<LocalBody>> {
+        let in_progress = LocalRequestGuard::start(&self.0.local_requests);
+        let response = caller_response(Reply::failed(NO_ROOM), Duration::ZERO);
+        Some(response.map(|body| LocalBody::new(body, in_progress)))
+    }
+
+    fn is_closing(&self) -> bool {
+        self.0.refusing_callers.get()
+    }
+}
+
+impl<N: Net, D: 'static> Outbound<N, D> {
+    async fn answer<B>(&self, head: Parts, body: B) -> Response<LocalBody>
+    where
+        B: http_body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
         let mesh = &self.0;
         let arrived = Instant::now();
         let in_progress = LocalRequestGuard::start(&mesh.local_requests);
-        let (head, body) = request.into_parts();
         let left = time_left(&head.headers, &mesh.names.time_left);
         let reply = self.call(head, body, arrived, left).await;
         mesh.counters.add(outcome_counter(reply.outcome), 1);
@@ -96,10 +136,11 @@
         }
         response.map(|body| LocalBody::new(body, in_progress))
     }
-}
 
-impl<N: Net, D: 'static> Outbound<N, D> {
-    async fn call(&self, head: Parts, body: Incoming, arrived: Instant, left: Duration) -> Reply {
+    async fn call<B>(&self, head: Parts, body: B, arrived: Instant, left: Duration) -> Reply
+    where
+        B: http_body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
         let mesh = &self.0;
         let Some(table) = mesh.routes.borrow().clone() else {
             mesh.counters.add(Counter::RefusedNoConfig, 1);
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -44,7 +44,7 @@
 };
 
 use super::{
-    super::{health::Health, link::Links, net::Net, pool::Pool},
+    super::{health::Health, link::Links, net::Net, pipeline::Shared, pool::Pool},
     metrics::Latency,
     relay::Relay,
     suspects::Sharing,
@@ -137,6 +137,8 @@
     pub latency: Latency,
     /// Bytes of request bodies in memory.
     pub buffered: Rc<Cell<usize>>,
+    /// Requests of callers that are started ahead of their turn.
+    pub pipeline: Shared,
     /// Random number generator.
     pub rng: RefCell<fastrand::Rng>,
     /// Requests running at the backend server.
@@ -188,6 +190,7 @@
             tick_due: Cell::new(Instant::now()),
             grace_end: Cell::new(None),
             local_requests: Rc::default(),
+            pipeline: Shared::new(counters.clone()),
             counters,
             latency: Latency::default(),
             buffered: Rc::default(),
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -14,6 +14,7 @@
 mod observe;
 pub mod parts;
 pub mod peer;
+pub mod pipeline;
 pub mod platform;
 pub mod pool;
 pub mod public;
--- a/src/transport/request.rs
+++ b/src/transport/request.rs
@@ -101,12 +101,15 @@
     ///
     /// # Errors
     /// The request is malformed, too large or too slow.
-    pub async fn read_up_to(
+    pub async fn read_up_to<B>(
         max_bytes: usize,
         head: Parts,
-        body: Incoming,
+        body: B,
         buffered_bytes: &Rc<Cell<usize>>,
-    ) -> Result<Self, RequestError> {
+    ) -> Result<Self, RequestError>
+    where
+        B: http_body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
         validate(&head)?;
         let host = authority(&head);
         let target = head.uri.path_and_query().cloned();
@@ -194,7 +197,8 @@
     head.headers.get(HOST)?.to_str().ok()?.parse().ok()
 }
 
-fn validate(head: &Parts) -> Result<(), RequestError> {
+/// Checks a head before its request is processed.
+pub(super) fn validate(head: &Parts) -> Result<(), RequestError> {
     if head.version < Version::HTTP_11 {
         return Err(RequestError::Version);
     }
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::Cell,
-    convert::Infallible,
     future::Future,
     net::{IpAddr, SocketAddr},
     pin::pin,
@@ -11,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, request::Parts};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -20,7 +19,11 @@
 use tokio::{sync::Semaphore, time::sleep};
 use tokio_util::sync::CancellationToken;
 
-use super::{net::Listener, tasks::Tasks};
+use super::{
+    net::Listener,
+    pipeline::{Pipeline, Shared},
+    tasks::Tasks,
+};
 
 /// Size limit of a request or response head.
 pub const HEAD_MAX_BYTES: usize = 32 * 1_024;
@@ -63,7 +66,9 @@
 /// Request handler of a listener.
 pub trait Handler: 'static {
     /// Body of the responses.
-    type Body: http_body::Body<Data = Bytes, Error: std::error::Error + Send + Sync> + 'static;
+    type Body: http_body::Body<Data = Bytes, Error: std::error::Error + Send + Sync>
+        + Unpin
+        + 'static;
 
     /// Whether connections from this address are accepted.
     fn accepts(&self, from: IpAddr) -> bool;
@@ -79,6 +84,38 @@
         request: Request<Incoming>,
         from: SocketAddr,
     ) -> impl Future<Output = Response<Self::Body>> + 'static;
+
+    /// State for requests that are started before those ahead of them on their connection are
+    /// answered; `None` if all are processed one at a time.
+    fn pipeline(&self) -> Option<Shared> {
+        None
+    }
+
+    /// Whether a request without a body may be started before those ahead of it are answered. Its
+    /// response must not close the connection.
+    fn starts_ahead(&self, _head: &Parts) -> bool {
+        false
+    }
+
+    /// Handles a request without a body that [`Handler::starts_ahead`] allows.
+    fn handle_ahead(
+        self: Rc<Self>,
+        _head: Parts,
+        _from: SocketAddr,
+    ) -> impl Future<Output = Response<Self::Body>> + 'static {
+        std::future::pending()
+    }
+
+    /// The response to a request that was started ahead, whose own response has no room to wait;
+    /// `None` leaves that one where it is.
+    fn give_up(&self) -> Option<Response<Self::Body>> {
+        None
+    }
+
+    /// Whether connections are closed after the next response.
+    fn is_closing(&self) -> bool {
+        false
+    }
 }
 
 /// Accepts connections until the shutdown; returns when the last connection has ended.
@@ -140,14 +177,15 @@
     let used = Rc::new(Cell::new(false));
     let mark = used.clone();
     let head_timeout = handler.head_timeout();
+    let pipeline = Pipeline::new(handler, from, H::handle_ahead);
+    let requests = pipeline.clone();
     let service = service_fn(move |request| {
         mark.set(true);
-        // On the heap, as each layer around a future copies it.
-        let response = Box::pin(handler.clone().handle(request, from));
-        async move { Ok::<_, Infallible>(response.await) }
+        requests.serve(request)
     });
     let builder = builder(version, head_timeout, streams.clone());
-    let mut conn = pin!(builder.serve_connection(TokioIo::new(conn), service));
+    let io = TokioIo::new(pipeline.adapt(conn));
+    let mut conn = pin!(builder.serve_connection(io, service));
     // The HTTP library applies its time limit for heads only once it has detected the version.
     let unused_timeout = async {
         sleep(head_timeout).await;
@@ -157,11 +195,16 @@
     };
     let ended = tokio::select! {
         biased;
-        () = shutdown.drain.cancelled() => {
+        () = async {
+            shutdown.drain.cancelled().await;
+            pipeline.stop();
+            pipeline.emptied().await;
+        } => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
         ended = conn.as_mut() => ended,
+        never = pipeline.drive() => match never {},
         () = unused_timeout => return,
     };
     if let Err(error) = ended {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
 mod backend;
+pub mod caller;
 pub mod mesh;
 pub mod raw;
 pub mod store;
