Router: choose backend servers by expected delay

Servers of one service differ in speed and share their machines with other workloads. A node that sends a server a call every second or two learns that from its own times only by chance, and compared all servers with the shortest average among them.

The node beside a server measures the time of its calls, divided by the pace that the server reports with each answer, and reports both to other nodes (cb-service-time). These choose by expected delay among two random candidates, with bounds on what a report can change. The gate's search for the best concurrency leaves out windows in which the machine was slow.

--- a/src/coordination/gate.rs
+++ b/src/coordination/gate.rs
@@ -289,6 +289,12 @@
         self.core.borrow_mut().rate_limiter().adopt(limit, now)
     }
 
+    /// Records that the server reports its machine as slower than usual. The search for the best
+    /// concurrency ignores what is completed meanwhile.
+    pub fn record_slow_machine(&self) {
+        self.core.borrow_mut().record_slow_machine();
+    }
+
     /// The rate limit that the server announces, if any.
     pub fn rate_limit(&self) -> Option<RateLimit> {
         self.core.borrow().rate_limit()
--- a/src/coordination/gate/core.rs
+++ b/src/coordination/gate/core.rs
@@ -63,6 +63,8 @@
     slots: u32,
     limiter: Limiter,
     search: LimitSearch,
+    /// Whether the machine of the server was slower than usual in the current window.
+    was_slow: bool,
     rate: RateLimiter,
     /// Smoothed duration of the calls, in seconds, once one has been answered.
     duration_s: Option<f64>,
@@ -98,6 +100,7 @@
             slots,
             limiter: Limiter::new(slots, now),
             search: LimitSearch::new(slots),
+            was_slow: false,
             rate: RateLimiter::default(),
             duration_s: None,
             controller: LevelController::new(),
@@ -255,11 +258,19 @@
         }
     }
 
+    /// Records that the machine of the server is slower than usual.
+    pub(super) fn record_slow_machine(&mut self) {
+        self.was_slow = true;
+    }
+
     /// Closes the current window of 100 ms and returns the queued calls to refuse.
     pub(super) fn tick(&mut self, now: Instant) -> Refusals {
         self.window.late |= self.oldest_wait(now) > self.target_wait();
         let is_saturated = self.window.min_len > 0 && self.rate.limit().is_none();
-        self.search.end_window(is_saturated);
+        match std::mem::take(&mut self.was_slow) {
+            true => self.search.skip_window(),
+            false => self.search.end_window(is_saturated),
+        }
         if self.uses_priority() {
             // The state lasts until the queue has been empty: the shorter maximum wait in overload
             // brings waits below the target and would end it too early.
--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -17,7 +17,7 @@
     object::{Control, Upstream},
     priority::{Level, Priority},
     rate::RateLimit,
-    upstream::{Load, UpstreamStatus, UpstreamTable},
+    upstream::{Load, ServiceTime, UpstreamStatus, UpstreamTable},
 };
 
 #[derive(Debug)]
@@ -189,6 +189,14 @@
         }
     }
 
+    /// Updates the service time that the node of an upstream reported.
+    pub fn update_service_time(&self, upstream: &UpstreamName, time: ServiceTime) {
+        let now = Instant::now();
+        if let Some(service) = self.inner.borrow_mut().service_of(upstream) {
+            service.table.update_service_time(upstream, time, now);
+        }
+    }
+
     /// Records whether an upstream has announced that it is leaving.
     pub fn set_leaving(&self, upstream: &UpstreamName, leaving: bool) {
         let inner = &mut *self.inner.borrow_mut();
--- a/src/protocol/directory.rs
+++ b/src/protocol/directory.rs
@@ -24,7 +24,8 @@
     pub seal: HeaderName,
     /// The only backend server that may run the request.
     pub expected_instance: HeaderName,
-    /// The backend server's load.
+    /// The backend server's load: running, waiting and slots, separated by commas. A fourth figure is
+    /// the time that work takes on its machine at the moment, in percent of the usual.
     pub load: HeaderName,
     /// Present when the backend server did not run the request.
     pub not_run: HeaderName,
--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -26,6 +26,8 @@
 pub const LEVELS: &str = "cb-levels";
 /// Load of the answering upstream, as `in_flight/limit/queued`.
 pub const LOAD: &str = "cb-load";
+/// Time that a call takes at the backend server of the answering node, as `usual_us/pace`.
+pub const SERVICE_TIME: &str = "cb-service-time";
 /// Present when the answering node accepts no new requests and will stop.
 pub const LEAVING: &str = "cb-leaving";
 /// Present when the answering node still accepts requests but will stop soon.
--- a/src/state/limit/search.rs
+++ b/src/state/limit/search.rs
@@ -154,6 +154,12 @@
         }
     }
 
+    /// Leaves out the current window, in which the machine of the server was slow: what it completed
+    /// says nothing about the limit.
+    pub fn skip_window(&mut self) {
+        self.restart(SETTLE_WINDOWS);
+    }
+
     /// Ends a window of 100 ms. `is_saturated`: whether calls waited for a slot all the time.
     pub fn end_window(&mut self, is_saturated: bool) {
         self.wait = self.wait.saturating_sub(1);
--- a/src/state/upstream.rs
+++ b/src/state/upstream.rs
@@ -6,10 +6,12 @@
 
 mod entry;
 mod row;
+mod service_time;
 mod subset;
 mod table;
 
 pub use row::{Standing, UpstreamStatus};
+pub use service_time::{Pace, ServiceTime, ServiceTimeMeter};
 pub use subset::SUBSET_THRESHOLD;
 pub use table::UpstreamTable;
 
--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -11,7 +11,7 @@
         priority::{Level, Priority},
         rate::RateLimit,
     },
-    AttemptEnd, Load, Standing, UpstreamStatus,
+    AttemptEnd, Load, ServiceTime, Standing, UpstreamStatus,
 };
 
 /// Weight of a new sample in the smoothed latency and success rate.
@@ -28,6 +28,15 @@
 const EJECTION_MAX: Duration = Duration::from_secs(30);
 /// Age from which a load report is ignored. It allows for one lost heartbeat.
 const REPORT_TTL: Duration = Duration::from_millis(2_500);
+/// Age from which a reported service time is ignored: that of a server which has got no call for so
+/// long may have changed.
+const SERVICE_TIME_TTL: Duration = Duration::from_secs(30);
+/// Time over which a reported pace fades to the usual one. Machines that are shared with other
+/// workloads are slow for about 600 ms at a time.
+const PACE_TTL: Duration = Duration::from_millis(600);
+/// Largest factor by which a reported service time counts as longer or shorter than the median
+/// of the service. Speeds differ by up to 3.4; a false report can neither draw all calls nor keep all away.
+const SERVICE_TIME_FACTOR_MAX: f64 = 4.0;
 /// Maximum number of queued calls per slot accepted from a report; the excess is ignored.
 const QUEUED_PER_SLOT: f64 = 4.0;
 /// Time for which an upstream gets no calls after a failed connection attempt, while others are
@@ -80,6 +89,8 @@
     retiring_at: Option<Instant>,
     /// Last report, with the time at which it arrived.
     report: Option<(Load, Level, Instant)>,
+    /// Last reported service time, with the time at which it arrived.
+    service_time: Option<(ServiceTime, Instant)>,
 }
 
 impl Entry {
@@ -101,6 +112,7 @@
             unreachable_at: None,
             retiring_at: None,
             report: None,
+            service_time: None,
         }
     }
 
@@ -146,6 +158,44 @@
         self.report = Some((load, level, now));
     }
 
+    pub(super) fn update_service_time(&mut self, time: ServiceTime, now: Instant) {
+        self.service_time = Some((time, now));
+    }
+
+    /// The usual service time that it has reported, in seconds.
+    pub(super) fn usual_time(&self, now: Instant) -> Option<f64> {
+        let (time, _) = self.fresh_service_time(now)?;
+        Some(time.usual.as_secs_f64())
+    }
+
+    /// Time in seconds until the answer to one more call is expected. `median` is the median service
+    /// time of the upstreams that have reported one, and counts where this one has not.
+    ///
+    /// Up to its capacity a server takes the service time, and somewhat more the fuller it is, as
+    /// calls arrive in clusters and reports are old; beyond it, each further call waits.
+    pub(super) fn expected_delay(&self, median: f64, now: Instant) -> f64 {
+        let (usual, pace) = match self.fresh_service_time(now) {
+            Some((time, at)) => {
+                let age = now.saturating_duration_since(at).as_secs_f64();
+                let trust = (1.0 - age / PACE_TTL.as_secs_f64()).max(0.0);
+                let pace = 1.0 + (time.pace.factor() - 1.0) * trust;
+                (time.usual.as_secs_f64(), pace)
+            }
+            None => (median, 1.0),
+        };
+        let range = median / SERVICE_TIME_FACTOR_MAX..=median * SERVICE_TIME_FACTOR_MAX;
+        let service = (usual * pace).clamp(*range.start(), *range.end());
+        let health = (self.ramp(now) * self.success).max(WEIGHT_MIN);
+        let used = (self.load(now) + 1.0) / (self.capacity(now) * health);
+        let crowding = if used <= 1.0 { used.powi(4) } else { used };
+        service * (1.0 + crowding) / health
+    }
+
+    fn fresh_service_time(&self, now: Instant) -> Option<(ServiceTime, Instant)> {
+        let is_fresh = |at: Instant| now < at + SERVICE_TIME_TTL;
+        self.service_time.filter(|(_, at)| is_fresh(*at))
+    }
+
     pub(super) fn set_leaving(&mut self, leaving: bool, now: Instant) {
         self.leaving_at = leaving.then_some(now);
     }
@@ -175,6 +225,7 @@
     /// Drops all reports, which are stale after this process was paused.
     pub(super) fn forget(&mut self) {
         self.report = None;
+        self.service_time = None;
         self.leaving_at = None;
         self.listing = Listing::Unknown;
     }
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -11,7 +11,7 @@
         priority::{Level, Priority},
         rate::RateLimit,
     },
-    AttemptEnd, ListEntry, ListedState, Load, UpstreamStatus,
+    AttemptEnd, ListEntry, ListedState, Load, ServiceTime, UpstreamStatus,
     entry::{Entry, Listing},
     subset::{SUBSET_THRESHOLD, subset},
 };
@@ -46,6 +46,9 @@
     compared_at: Option<Instant>,
     /// Lowest latency in seconds at the last comparison.
     best_latency: f64,
+    /// Median of the reported service times in seconds at the last comparison; `None` while too few
+    /// upstreams report one.
+    median_time: Option<f64>,
     /// Whether calls spilled over to other zones at the last comparison.
     is_spilling: bool,
     examined: u64,
@@ -63,6 +66,7 @@
             distrusted_until: None,
             compared_at: None,
             best_latency: f64::INFINITY,
+            median_time: None,
             is_spilling: false,
             examined: 0,
         }
@@ -176,6 +180,13 @@
         }
     }
 
+    /// Records the service time that an upstream reported.
+    pub fn update_service_time(&mut self, name: &UpstreamName, time: ServiceTime, now: Instant) {
+        if let Some(entry) = self.get_mut(name) {
+            entry.update_service_time(time, now);
+        }
+    }
+
     /// Records whether an upstream has announced that it is leaving.
     pub fn set_leaving(&mut self, name: &UpstreamName, leaving: bool, now: Instant) {
         if let Some(entry) = self.get_mut(name) {
@@ -343,9 +354,15 @@
             .iter()
             .filter_map(|index| self.entries[*index].latency());
         self.best_latency = latencies.fold(f64::INFINITY, f64::min);
+        self.median_time = self.median_service_time(now);
         let load = |zone: &[usize]| {
             let entries = || zone.iter().map(|index| &self.entries[*index]);
-            let weight: f64 = entries().map(|e| e.weight(self.best_latency, now)).sum();
+            // Calls in flight already reflect the speed of a server.
+            let weight = |e: &Entry| match self.median_time {
+                Some(_) => e.weight(f64::INFINITY, now),
+                None => e.weight(self.best_latency, now),
+            };
+            let weight: f64 = entries().map(weight).sum();
             entries().map(|e| e.load(now)).sum::<f64>() / weight
         };
         // Without upstreams in other zones the second load is NaN, and no calls spill over.
@@ -353,6 +370,25 @@
         self.is_spilling = local > others + SPILL_MARGIN;
     }
 
+    /// Median of the reported service times in seconds, if at least half of the active upstreams have
+    /// reported one. A single false report hardly changes it.
+    fn median_service_time(&self, now: Instant) -> Option<f64> {
+        let mut times = [0.0; SUBSET_THRESHOLD];
+        let mut count = 0;
+        for index in &self.active {
+            if let Some(time) = self.entries[*index].usual_time(now) {
+                times[count] = time;
+                count += 1;
+            }
+        }
+        let times = &mut times[..count];
+        if times.is_empty() || count * 2 < self.active.len() {
+            return None;
+        }
+        let (_, median, _) = times.select_nth_unstable_by(count / 2, f64::total_cmp);
+        Some(*median)
+    }
+
     /// Updates which upstreams are removed from service.
     fn review_removals(&mut self, now: Instant) {
         self.reviewed_at = Some(now);
--- a/src/state/upstream/table/choice.rs
+++ b/src/state/upstream/table/choice.rs
@@ -4,10 +4,15 @@
 
 use super::UpstreamTable;
 
+/// One call in so many goes to a random candidate. It brings a new report of an upstream that old or
+/// false reports keep calls away from.
+const PROBE_INTERVAL: u32 = 16;
+
 impl UpstreamTable {
     /// Chooses among at least two candidates.
     ///
-    /// Compares two random candidates and takes the one with the lower load relative to its weight.
+    /// Compares two random candidates and takes the one with the shorter expected delay, or the lower
+    /// load relative to its weight.
     /// If a candidate announces a rate limit, the two are drawn in proportion to their capacity, and
     /// the first is taken if it has room: where most candidates accept few calls, two that are drawn
     /// evenly rarely include one that has room, and comparing them would leave nothing for those
@@ -21,6 +26,10 @@
         let is_limited = |index: &usize| self.entries[*index].rate_limit.is_some();
         if !candidates.iter().any(is_limited) {
             let first = rng.usize(..candidates.len());
+            let is_probe = self.median_time.is_some() && rng.u32(..PROBE_INTERVAL) == 0;
+            if is_probe {
+                return candidates[first];
+            }
             let second = (first + rng.usize(1..candidates.len())) % candidates.len();
             return self.less_loaded(candidates[first], candidates[second], now);
         }
@@ -60,9 +69,13 @@
         }
     }
 
-    /// Load of an upstream relative to its weight, with the call to be placed included.
+    /// Expected delay of the call to be placed, if the upstreams report their service times; otherwise
+    /// the load of an upstream relative to its weight, with this call included.
     fn score(&self, index: usize, now: Instant) -> f64 {
         let entry = &self.entries[index];
-        (entry.load(now) + 1.0) / entry.weight(self.best_latency, now)
+        match self.median_time {
+            Some(median) => entry.expected_delay(median, now),
+            None => (entry.load(now) + 1.0) / entry.weight(self.best_latency, now),
+        }
     }
 }
--- a/src/transport/mesh/announce.rs
+++ b/src/transport/mesh/announce.rs
@@ -10,7 +10,13 @@
         call::{self, write},
         header,
     },
-    state::{counters::Counter, id::UpstreamName, mesh::backend::InstanceId, rate::RateLimit},
+    state::{
+        counters::Counter,
+        id::UpstreamName,
+        mesh::backend::InstanceId,
+        rate::RateLimit,
+        upstream::{Pace, ServiceTime},
+    },
 };
 
 use super::{super::net::Net, shared::Mesh};
@@ -20,6 +26,7 @@
     /// sent to `instance` at `sent`.
     pub fn record_announcements(&self, instance: &InstanceId, headers: &HeaderMap, sent: Instant) {
         self.record_rate_limit(headers, sent);
+        self.record_pace(headers);
         if !headers.contains_key(&self.names.leaving) {
             return;
         }
@@ -74,6 +81,38 @@
         }
     }
 
+    /// Records the pace of the machine, the fourth figure of the server's load. The load has it only
+    /// on some platforms.
+    fn record_pace(&self, headers: &HeaderMap) {
+        let load = headers.get(&self.names.load).and_then(|v| v.to_str().ok());
+        let Some(text) = load.and_then(|text| text.split(',').nth(3)) else {
+            return;
+        };
+        let Ok(pace) = text.parse::<Pace>() else {
+            self.counters.add(Counter::ServerMalformed, 1);
+            return;
+        };
+        self.service_times.borrow_mut().record_pace(pace);
+        if pace.is_slow() {
+            self.gate.record_slow_machine();
+        }
+    }
+
+    /// Writes the service time of the backend server beside this node for the node of a caller.
+    pub fn write_service_time(&self, headers: &mut HeaderMap) {
+        if let Some(time) = self.service_times.borrow().report() {
+            write(headers, header::SERVICE_TIME, &time);
+        }
+    }
+
+    /// Reads the service time that the node of another backend server reports.
+    pub fn read_service_time(&self, upstream: &UpstreamName, headers: &HeaderMap) {
+        let time: Option<ServiceTime> = call::read(headers, header::SERVICE_TIME).ok().flatten();
+        if let Some(time) = time {
+            self.router.update_service_time(upstream, time);
+        }
+    }
+
     fn set_rate_gauge(&self, limit: Option<RateLimit>) {
         let rounded = limit.map_or(0, |l| l.per_second().ceil() as u64);
         self.counters.set(Counter::ServerRateLimit, rounded);
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -278,6 +278,9 @@
         let own = self.sent.elapsed();
         self.mesh.latency.record_server_time(own);
         let not_run = self.is_not_run(&head);
+        if !not_run {
+            self.mesh.service_times.borrow_mut().record(own);
+        }
         let is_last = head.headers.get(CONNECTION).is_some_and(|v| v == "close");
         let body = match buffered {
             Buffered::Whole(bytes) => {
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -40,6 +40,7 @@
         },
         object::{Control, Favour},
         priority::Priority,
+        upstream::ServiceTimeMeter,
     },
 };
 
@@ -146,6 +147,8 @@
     /// Admission levels reported by the responses to calls of the backend server, by the class of
     /// the request that made the call.
     pub call_levels: RefCell<DownstreamLevels>,
+    /// Time that calls take at the backend server.
+    pub service_times: RefCell<ServiceTimeMeter>,
     splits: RefCell<BTreeMap<ClassName, WeightedRoundRobin>>,
     retry_windows: RefCell<BTreeMap<ServiceName, RetryWindow>>,
     cooldowns: RefCell<BTreeMap<UpstreamName, Instant>>,
@@ -195,6 +198,7 @@
             calls: RefCell::default(),
             local_levels: RefCell::default(),
             call_levels: RefCell::default(),
+            service_times: RefCell::default(),
             splits: RefCell::default(),
             retry_windows: RefCell::default(),
             cooldowns: RefCell::default(),
@@ -302,6 +306,7 @@
             .resize(own.backend.slots.max(1) + SPARE_CONNECTIONS);
         if *self.own_id.borrow() != id {
             *self.own_id.borrow_mut() = id;
+            self.service_times.borrow_mut().reset();
         }
         if !self.closing.get() {
             let state = if leaving || own.is_draining() {
