Quotas: shares of nodes, lenders and tokens as decisions without I/O

Cause: an organisation's rate and burst hold over all nodes, also in partitions and after restarts, without a common store; nothing in the code divides them.

Change: state::mesh::quota.

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -11,5 +11,6 @@
 #[allow(missing_docs, clippy::all, clippy::unimplemented, reason = "generated code")]
 pub mod peer_capnp;
 pub mod platform;
+pub mod quota;
 pub mod report;
 pub mod suspects;
--- a/src/state/mesh/mod.rs
+++ b/src/state/mesh/mod.rs
@@ -7,6 +7,7 @@
 pub mod organisation;
 pub mod precedence;
 pub mod progress;
+pub mod quota;
 pub mod readers;
 pub mod registry;
 pub mod revision;
