Quotas: tokens for callers' requests, and the exchange between nodes

Cause: requests of an organisation over its quota were served.

Nodes ask lenders on the inbound listener (cb-quota). Nothing is sent without a quota. Until keys are read on the request path, the listener finds the organisation itself.

--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -50,6 +50,10 @@
 /// Present when a node tells another one that its connections to the platform's store had fallen
 /// silent.
 pub const STORE_SILENT: &str = "cb-store-silent";
+/// Version of a message about quotas, which is in the body.
+pub const QUOTA: &str = "cb-quota";
+/// Address at which the node that sends such a message serves other nodes.
+pub const QUOTA_FROM: &str = "cb-quota-from";
 /// Longest useful wait in the queue, in ms.
 pub const MAX_WAIT_MS: &str = "cb-patience-ms";
 /// Importance of the client request.
--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -119,6 +119,13 @@
     SuspectsReceived "suspects.received" "messages" Total "Reports on suspects received from other nodes.",
     Suspects "suspects.kept" "requests" Gauge "Suspects and convicted requests known.",
 
+    QuotaAsked "quota.asked" "messages" Total "Messages sent to lenders of quota tokens.",
+    QuotaLent "quota.lent" "tokens" Total "Tokens lent to nodes, this one included, as a lender.",
+    QuotaRefused "quota.refused" "requests" Total "Requests of callers refused because their organisation is over its quota.",
+    QuotaReturned "quota.returned" "tokens" Total "Tokens returned by requests that did not run, and reserve tokens given back to lenders.",
+    QuotaExpired "quota.expired" "tokens" Total "Tokens that expired unused.",
+    QuotaActive "quota.active" "organisations" Gauge "Organisations with a quota that have sent requests to this node in the last 30 s.",
+
     GateInFlight "gate.in-flight" "calls" Gauge "Calls in flight at the backend server.",
     GateQueued "gate.queued" "calls" Gauge "Calls waiting in the queue.",
     GateLimit "gate.limit" "calls" Gauge "Concurrency limit.",
--- a/src/state/mesh/settings.rs
+++ b/src/state/mesh/settings.rs
@@ -4,7 +4,7 @@
 
 use thiserror::Error;
 
-use super::window::Budget;
+use super::{quota::QuotaBounds, window::Budget};
 use crate::state::id::{ServiceName, UpstreamName, ZoneName};
 
 /// Limits that the platform imposes on its nodes.
@@ -16,6 +16,8 @@
     pub grace: Duration,
     /// Budget of extra arrivals at a service, over all nodes.
     pub budget: Budget,
+    /// Bounds on what all nodes together serve of an organisation.
+    pub quota: QuotaBounds,
 }
 
 /// Settings of one node process.
--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -27,7 +27,7 @@
     },
     alarm,
     context::PeerHeaders,
-    relay,
+    quota, relay,
     server::serve,
     shared::Mesh,
     suspects,
@@ -59,6 +59,10 @@
         if suspects::is_request(request.headers()) {
             return suspects::answer(mesh, request.into_body()).await;
         }
+        if quota::is_request(request.headers()) {
+            let (head, body) = request.into_parts();
+            return quota::answer(mesh, &head.headers, body).await;
+        }
         mesh.counters.add(Counter::PeerCalls, 1);
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
--- a/src/transport/mesh/metrics.rs
+++ b/src/transport/mesh/metrics.rs
@@ -148,6 +148,7 @@
                 "rate_limit": mesh.gate.rate_limit().map(RateLimit::per_second),
             },
             "server": { "connections": mesh.pool.open(), "down": mesh.health.is_down() },
+            "quota": mesh.quotas.is_active().then(|| mesh.quotas.dump()),
             "links": mesh.links.open_count(),
             "backends": registry.iter().map(|b| backend_json(b, now)).collect::<Vec<_>>(),
             "upstreams": mesh.router.statuses(),
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -16,6 +16,7 @@
 pub mod node;
 mod outbound;
 mod pressure;
+mod quota;
 mod ready;
 mod relay;
 mod server;
--- a/src/transport/mesh/node.rs
+++ b/src/transport/mesh/node.rs
@@ -28,6 +28,7 @@
     metrics::Metrics,
     outbound::Outbound,
     pressure::PressureLog,
+    quota,
     ready::Ready,
     shared::Mesh,
     suspects,
@@ -85,6 +86,7 @@
     background.spawn(tick(mesh.clone(), background_stop.clone()));
     background.spawn(probe(mesh.clone(), background_stop.clone()));
     background.spawn(suspects::run(mesh.clone(), background_stop.clone()));
+    background.spawn(quota::run(mesh.clone(), background_stop.clone()));
     background.spawn(pace(mesh.clone(), background_stop.clone()));
 
     let (callers, peers, admin_stop) = (
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -8,7 +8,7 @@
 
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode,
-    header::{CONNECTION, HOST, RETRY_AFTER},
+    header::{AUTHORIZATION, CONNECTION, HOST, RETRY_AFTER},
     request::Parts,
 };
 use hyper::body::Incoming;
@@ -19,7 +19,7 @@
     protocol::{hop::remove_internal, outcome::Outcome},
     state::{
         counters::Counter,
-        id::RootId,
+        id::{OrganisationName, RootId},
         mesh::{
             calls::{self, Parent},
             route::{Route, RouteTable},
@@ -37,6 +37,7 @@
     attempt,
     context::RequestContext,
     local::{LocalBody, LocalRequestGuard},
+    quota,
     shared::Mesh,
     trace,
 };
@@ -56,6 +57,8 @@
 /// Retry delay sent to callers when the admission level of a downstream service excludes the
 /// request.
 const EXCLUDED_RETRY_MS: u64 = 1_000;
+/// Scheme of the header with the key of an organisation.
+const BEARER: &[u8] = b"Bearer ";
 /// Upper bound on the remaining time that a caller sends; also used when it sends none.
 const TIME_LEFT_MAX_MS: u64 = 3_600_000;
 
@@ -160,8 +163,24 @@
             trace::excluded(mesh, &context, &excluded);
             return Reply::not_run(0, "level-below", Duration::from_millis(EXCLUDED_RETRY_MS));
         }
+        let organisation = organisation(&table, &context.request.headers);
+        let token = match organisation.filter(|_| !context.begun) {
+            Some(organisation) => quota::take(mesh, &organisation).await,
+            None => Ok(None),
+        };
+        let token = match token {
+            Ok(token) => token,
+            Err(over) => {
+                let reply = Reply::not_run(0, "over-quota", over.due);
+                return reply.with_status(StatusCode::TOO_MANY_REQUESTS);
+            }
+        };
         let parent = parent.as_ref().map(|parent| &parent.class);
-        attempt::run(mesh, &route, &mut context, parent).await
+        let reply = attempt::run(mesh, &route, &mut context, parent).await;
+        if let Some(token) = token.filter(|_| reply.outcome == Outcome::NotRun) {
+            quota::give_back(mesh, token);
+        }
+        reply
     }
 
     fn request_context(
@@ -197,6 +216,16 @@
     table.find(host, head.uri.path()).cloned()
 }
 
+/// The organisation whose key a caller's request carries.
+fn organisation(table: &RouteTable, headers: &HeaderMap) -> Option<OrganisationName> {
+    let organisations = table.organisations()?;
+    let value = headers.get(AUTHORIZATION)?.as_bytes();
+    let (scheme, key) = value.split_at_checked(BEARER.len())?;
+    let found = organisations.find(key)?;
+    let is_bearer = scheme.eq_ignore_ascii_case(BEARER);
+    is_bearer.then(|| found.name.clone())
+}
+
 fn time_left(headers: &HeaderMap, name: &http::HeaderName) -> Duration {
     let text = headers.get(name).and_then(|v| v.to_str().ok());
     let ms: Option<u64> = text.and_then(|t| t.trim().parse().ok());
@@ -212,20 +241,23 @@
     }
 }
 
-/// Builds the response for a caller: without internal headers, and with `Retry-After` of at most
-/// `max_delay` if the request was refused.
+/// Builds the response for a caller: without internal headers, and with `Retry-After` if the request
+/// was refused, of at most `max_delay` unless the caller's organisation is over its quota.
 fn caller_response(reply: Reply, max_delay: Duration) -> Response<Body> {
     let delay = reply
         .retry_after
         .filter(|_| reply.outcome == Outcome::NotRun);
-    let refused = reply.status == StatusCode::SERVICE_UNAVAILABLE;
+    let is_over_quota = reply.status == StatusCode::TOO_MANY_REQUESTS;
+    let refused = is_over_quota || reply.status == StatusCode::SERVICE_UNAVAILABLE;
     let mut response = reply.into_response();
     let headers = response.headers_mut();
     remove_internal(headers);
     headers.remove(RETRY_AFTER);
     if refused && let Some(delay) = delay {
         let min = Duration::from_millis(RETRY_AFTER_MIN_MS);
-        let delay = delay.max(min).min(max_delay.max(min));
+        // Earlier, an organisation over its quota would be refused again.
+        let max = if is_over_quota { delay } else { max_delay };
+        let delay = delay.max(min).min(max.max(min));
         let text = format!("{:.3}", delay.as_secs_f64());
         let value =
             HeaderValue::try_from(text).expect("a formatted number is a valid header value");
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -46,6 +46,7 @@
 use super::{
     super::{health::Health, link::Links, net::Net, pool::Pool},
     metrics::Latency,
+    quota::Quotas,
     relay::Relay,
     suspects::Sharing,
 };
@@ -115,6 +116,8 @@
     pub relay: Relay,
     /// Exchange of suspect requests with the other nodes of the service.
     pub suspects: Sharing,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
     /// Notified when another node reports a newer store revision.
     pub behind_notify: Notify,
     /// Whether the node is about to stop: it is not ready, and reports this to other nodes.
@@ -180,6 +183,7 @@
             store_alarm: Notify::new(),
             relay: Relay::default(),
             suspects: Sharing::default(),
+            quotas: Quotas::new(&mut rng),
             behind_notify: Notify::new(),
             retiring: Cell::new(false),
             refusing_callers: Cell::new(false),
@@ -272,6 +276,8 @@
         self.local_levels.borrow_mut().clear();
         self.call_levels.borrow_mut().clear();
         let revision = table.revision().0;
+        let quota = self.bounds().quota;
+        self.quotas.set_limits(table.organisations(), &quota);
         self.counters.set(Counter::ConfigRevision, revision);
         *self.routes.borrow_mut() = Some(Rc::new(table));
         self.apply_registry();
@@ -291,11 +297,21 @@
         let zone = &self.settings.zone;
         self.source.replace(readers::source(own, zone, servers()));
         self.readers.replace(readers::all(servers()));
+        if self.quotas.is_active() {
+            let nodes = servers().map(|u| u.peer).collect();
+            let leaving = registry.iter().map(|record| &record.backend);
+            let leaving = leaving.filter(|backend| registry.is_leaving(backend));
+            let port = self.settings.inbound.port();
+            let leaving = leaving.map(|b| SocketAddr::new(b.address.ip(), port));
+            let own = self.own_peer();
+            self.quotas.set_nodes(own, nodes, &leaving.collect());
+        }
         let Some(own) = registry.by_address(self.settings.server) else {
             return;
         };
         let leaving = registry.is_leaving(&own.backend);
         self.counters.set(Counter::ServerLeaving, leaving.into());
+        self.quotas.is_leaving.set(leaving);
         let id = Some(own.backend.id.clone());
         self.gate.resize(own.backend.slots.max(1));
         self.pool
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -11,6 +11,7 @@
         id::{ServiceName, ZoneName},
         mesh::{
             backend::{Backend as Entry, Phase},
+            quota::QuotaBounds,
             route::{Bounds, Route, RouteTable, Service as Described, WeightedService},
             settings::{PlatformBounds, Settings as MeshSettings},
             window::Budget,
@@ -190,6 +191,7 @@
                     slack: 40.0,
                     window: Duration::from_secs(10),
                 },
+                quota: QuotaBounds::default(),
             },
         };
         let server = self.start_server(&name, at(SERVER));
