--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -34,6 +34,8 @@
 pub const ARRIVED: &str = "cb-arrived";
 /// Service of the instance where a request originated.
 pub const ORIGIN: &str = "cb-origin";
+/// Name of the organisation that a request belongs to; absent if it belongs to none.
+pub const ORGANISATION: &str = "cb-organisation";
 /// Id of the only backend server that may run the request.
 pub const INSTANCE: &str = "cb-instance";
 /// Rate limit that the backend server announced to the sending node, in requests per second.
@@ -50,6 +52,8 @@
 /// Present when a node tells another one that its connections to the platform's store had fallen
 /// silent.
 pub const STORE_SILENT: &str = "cb-store-silent";
+/// Present when a node tells another one that it has read a change of the platform's store.
+pub const STORE_CHANGED: &str = "cb-store-changed";
 /// Version of a message about quotas, which is in the body.
 pub const QUOTA: &str = "cb-quota";
 /// Address at which the node that sends such a message serves other nodes.
--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -67,6 +67,9 @@
     CallsCancelled "calls.cancelled" "calls" Total "Calls whose caller disconnected before the answer.",
     CallsOpen "calls.open" "calls" Gauge "Calls in progress in the call table.",
     CallsHeld "calls.held" "calls" Total "Calls held because the caller sent again before its time.",
+    AheadStarted "ahead.started" "calls" Total "Calls started before those ahead of them on their connection were answered.",
+    AheadHeld "ahead.held" "calls" Total "Calls behind another one on their connection that waited for their turn, because they may not be started ahead or a bound was reached.",
+    AheadGivenUp "ahead.given-up" "calls" Total "Calls started ahead that were answered as failed, because there was no room for their long answer to wait.",
     AnswersBroken "answers.broken" "answers" Total "Answers of a server that ended before their end.",
 
     RefusedLevel "refused.level" "calls" Total "Refused by the admission level.",
@@ -83,6 +86,8 @@
     RefusedDown "refused.down" "calls" Total "Refused because the backend server is down.",
     RefusedChain "refused.chain" "calls" Total "Refused early because a service of the chain refuses the class.",
     RefusedNoRoute "refused.no-route" "calls" Total "Refused because no chain or no upstream matches.",
+    RefusedNoKey "refused.no-key" "calls" Total "Calls of callers refused because they carried no key of an organisation.",
+    RefusedUnknownKey "refused.unknown-key" "calls" Total "Calls of callers refused because no organisation has their key.",
     RefusedNoTicket "refused.no-ticket" "calls" Total "Refused because a non-repeatable call carried no ticket.",
     RefusedEgress "refused.egress" "calls" Total "Egress calls refused because their call token is not in progress.",
     RefusedRepeat "refused.repeat" "calls" Total "Egress calls refused as a repeat of a non-repeatable call.",
@@ -158,6 +163,8 @@
     ConfigPulls "config.pulls" "parts" Total "Parts pulled from peers.",
     ConfigReader "config.reader" "flag" Gauge "1 while this node reads the configuration service for its zone.",
     ConfigApplyMs "config.apply-ms" "ms" Gauge "Time from first notice of the last revision to its effect.",
+    Organisations "config.organisations" "organisations" Gauge "Organisations in the routes in effect.",
+    OrganisationKeys "config.organisation-keys" "keys" Gauge "Keys of organisations in the routes in effect.",
 
     Peers "peers.known" "peers" Gauge "Peers that heartbeats are exchanged with.",
     PeersLost "peers.lost" "events" Total "Times that a peer was found down.",
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -6,20 +6,21 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode,
-    header::{AUTHORIZATION, CONNECTION, HOST, RETRY_AFTER},
+    header::{CONNECTION, HOST, RETRY_AFTER, WWW_AUTHENTICATE},
     request::Parts,
 };
+use http_body_util::{BodyExt as _, Empty};
 use hyper::body::Incoming;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     coordination::gate::RefusalReason,
     protocol::{hop::remove_internal, outcome::Outcome},
     state::{
         counters::Counter,
-        id::{OrganisationName, RootId},
         mesh::{
             calls::{self, Parent},
             route::{Route, RouteTable},
@@ -30,11 +31,13 @@
 use super::{
     super::{
         net::Net,
+        pipeline::Shared,
         reply::{Body, Reply, reason_text},
-        request::BufferedRequest,
+        request::{BufferedRequest, validate},
         server::{HEAD_TIMEOUT_MS, Handler},
     },
     attempt,
+    auth::{self, KeyError},
     context::RequestContext,
     local::{LocalBody, LocalRequestGuard},
     quota,
@@ -57,11 +60,17 @@
 /// Retry delay sent to callers when the admission level of a downstream service excludes the
 /// request.
 const EXCLUDED_RETRY_MS: u64 = 1_000;
-/// Scheme of the header with the key of an organisation.
-const BEARER: &[u8] = b"Bearer ";
+/// Longest body of a request without a known key that is read and discarded, so that the connection
+/// can be used again. Beyond it, the connection is closed after the response.
+const REFUSED_BODY_MAX_BYTES: usize = 64 * 1_024;
+/// Time limit for reading such a body. A caller sends a body of this size in one piece.
+const REFUSED_BODY_TIMEOUT_MS: u64 = 200;
 /// Upper bound on the remaining time that a caller sends; also used when it sends none.
 const TIME_LEFT_MAX_MS: u64 = 3_600_000;
 
+/// Reason of a failure for lack of room for a response that waits for an earlier one.
+const NO_ROOM: &str = "no-room-to-wait";
+
 /// Handles requests from callers on this instance and from the backend server.
 pub struct Outbound<N: Net, D>(pub Rc<Mesh<N, D>>);
 
@@ -83,10 +92,44 @@
         request: Request<Incoming>,
         _from: SocketAddr,
     ) -> Response<LocalBody> {
+        let (head, body) = request.into_parts();
+        self.answer(head, body).await
+    }
+
+    fn pipeline(&self) -> Option<Shared> {
+        Some(self.0.pipeline.clone())
+    }
+
+    fn starts_ahead(&self, head: &Parts) -> bool {
+        let routes = self.0.routes.borrow();
+        let route = routes.as_ref().and_then(|table| find_route(table, head));
+        !self.is_closing() && validate(head).is_ok() && route.is_some_and(|r| r.idempotent)
+    }
+
+    async fn handle_ahead(self: Rc<Self>, head: Parts, _from: SocketAddr) -> Response<LocalBody> {
+        let body = Empty::new().map_err(|never| match never {});
+        self.answer(head, body).await
+    }
+
+    fn give_up(&self) -> Option<Response<LocalBody>> {
+        let in_progress = LocalRequestGuard::start(&self.0.local_requests);
+        let response = caller_response(Reply::failed(NO_ROOM), Duration::ZERO);
+        Some(response.map(|body| LocalBody::new(body, in_progress)))
+    }
+
+    fn is_closing(&self) -> bool {
+        self.0.refusing_callers.get()
+    }
+}
+
+impl<N: Net, D: 'static> Outbound<N, D> {
+    async fn answer<B>(&self, head: Parts, body: B) -> Response<LocalBody>
+    where
+        B: http_body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
         let mesh = &self.0;
         let arrived = Instant::now();
         let in_progress = LocalRequestGuard::start(&mesh.local_requests);
-        let (head, body) = request.into_parts();
         let left = time_left(&head.headers, &mesh.names.time_left);
         let reply = self.call(head, body, arrived, left).await;
         mesh.counters.add(outcome_counter(reply.outcome), 1);
@@ -99,10 +142,11 @@
         }
         response.map(|body| LocalBody::new(body, in_progress))
     }
-}
 
-impl<N: Net, D: 'static> Outbound<N, D> {
-    async fn call(&self, head: Parts, body: Incoming, arrived: Instant, left: Duration) -> Reply {
+    async fn call<B>(&self, head: Parts, body: B, arrived: Instant, left: Duration) -> Reply
+    where
+        B: http_body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
         let mesh = &self.0;
         let Some(table) = mesh.routes.borrow().clone() else {
             mesh.counters.add(Counter::RefusedNoConfig, 1);
@@ -113,6 +157,18 @@
             let reply = Reply::not_run(0, "no-route", Duration::ZERO);
             return reply.with_status(StatusCode::NOT_FOUND);
         };
+        let id = head.headers.get(&mesh.names.attempt_id);
+        let id = id.and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let separator = mesh.names.call_separator;
+        let parent = mesh.calls.borrow().parent(id, separator).cloned();
+        let root = calls::root_id(id, separator);
+        let mut organisation = None;
+        if parent.is_none() {
+            match auth::organisation(&table, &route, &head.headers) {
+                Ok(found) => organisation = found,
+                Err(error) => return self.refuse_unread(error, head, body).await,
+            }
+        }
         let max_bytes = table.bounds().body_bytes;
         let buffered = BufferedRequest::read_up_to(max_bytes, head, body, &mesh.buffered).await;
         let mut request = match buffered {
@@ -127,6 +183,16 @@
                 return reply;
             }
         };
+        // A key that was removed while the body arrived is not accepted.
+        if organisation.is_some()
+            && let Some(current) = self.changed_table(&table)
+        {
+            match auth::organisation(&current, &route, &request.headers) {
+                Ok(found) => organisation = found,
+                Err(error) => return self.refuse(error),
+            }
+        }
+        auth::remove_claims(&table, &mesh.names, &mut request.headers);
         for name in [
             &mesh.names.expected_instance,
             &mesh.names.origin_service,
@@ -134,16 +200,19 @@
         ] {
             request.headers.remove(name);
         }
-        let id = request.headers.get(&mesh.names.attempt_id);
-        let id = id.and_then(|v| v.to_str().ok()).unwrap_or_default();
-        let parent = mesh
-            .calls
-            .borrow()
-            .parent(id, mesh.names.call_separator)
-            .cloned();
-        let root = calls::root_id(id, mesh.names.call_separator);
         let deadline = arrived + left.min(route.timeout);
-        let mut context = self.request_context(&route, request, parent.as_ref(), root, deadline);
+        let importance = table.importance(&route, organisation.as_deref());
+        // The request of a caller; calls inherit from the one for which they are made.
+        let root = Parent {
+            root,
+            importance,
+            class: route.class.clone(),
+            organisation: organisation.map(|organisation| organisation.name.clone()),
+            repeated: false,
+        };
+        let begun = parent.is_some();
+        let inherited = parent.as_ref().unwrap_or(&root);
+        let mut context = self.request_context(&route, request, inherited, begun, deadline);
         let counter = if context.begun {
             Counter::EgressCalls
         } else {
@@ -163,9 +232,8 @@
             trace::excluded(mesh, &context, &excluded);
             return Reply::not_run(0, "level-below", Duration::from_millis(EXCLUDED_RETRY_MS));
         }
-        let organisation = organisation(&table, &context.request.headers);
-        let token = match organisation.filter(|_| !context.begun) {
-            Some(organisation) => quota::take(mesh, &organisation).await,
+        let token = match context.organisation.as_ref().filter(|_| !context.begun) {
+            Some(organisation) => quota::take(mesh, organisation).await,
             None => Ok(None),
         };
         let token = match token {
@@ -183,28 +251,63 @@
         reply
     }
 
+    /// The table in effect, if it is another one than `table`.
+    fn changed_table(&self, table: &Rc<RouteTable>) -> Option<Rc<RouteTable>> {
+        let current = self.0.routes.borrow();
+        let current = current.as_ref()?;
+        (!Rc::ptr_eq(table, current)).then(|| current.clone())
+    }
+
+    /// Refuses a request for its key before its body is read.
+    async fn refuse_unread<B>(&self, error: KeyError, head: Parts, body: B) -> Reply
+    where
+        B: http_body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
+        let buffered = &self.0.buffered;
+        let reading = BufferedRequest::read_up_to(REFUSED_BODY_MAX_BYTES, head, body, buffered);
+        let time_limit = Duration::from_millis(REFUSED_BODY_TIMEOUT_MS);
+        let is_read = matches!(timeout(time_limit, reading).await, Ok(Ok(_)));
+        let mut reply = self.refuse(error);
+        if !is_read {
+            let close = HeaderValue::from_static("close");
+            reply.headers.insert(CONNECTION, close);
+        }
+        reply
+    }
+
+    /// Refuses a request for its key.
+    fn refuse(&self, error: KeyError) -> Reply {
+        self.0.counters.add(error.counter(), 1);
+        let reply = Reply::not_run(0, error.to_string(), Duration::ZERO);
+        let mut reply = reply.with_status(StatusCode::UNAUTHORIZED);
+        let scheme = HeaderValue::from_static("Bearer");
+        reply.headers.insert(WWW_AUTHENTICATE, scheme);
+        reply
+    }
+
     fn request_context(
         &self,
         route: &Route,
         request: BufferedRequest,
-        parent: Option<&Parent>,
-        root: RootId,
+        inherited: &Parent,
+        begun: bool,
         deadline: Instant,
     ) -> RequestContext {
-        let share = match parent {
-            Some(_) => CALL_WAIT_SHARE,
-            None => ROOT_WAIT_SHARE,
+        let share = match begun {
+            true => CALL_WAIT_SHARE,
+            false => ROOT_WAIT_SHARE,
         };
         RequestContext {
             class: route.class.clone(),
-            root: parent.map_or(root, |p| p.root),
-            importance: parent.map_or(route.importance, |p| p.importance),
-            begun: parent.is_some(),
-            repeated: parent.is_some_and(|p| p.repeated),
+            root: inherited.root,
+            importance: inherited.importance,
+            begun,
+            repeated: inherited.repeated,
             idempotent: route.idempotent,
             deadline,
             max_wait: route.target.mul_f64(share),
             origin: self.0.settings.service.clone(),
+            organisation: inherited.organisation.clone(),
             request,
         }
     }
@@ -216,16 +319,6 @@
     table.find(host, head.uri.path()).cloned()
 }
 
-/// The organisation whose key a caller's request carries.
-fn organisation(table: &RouteTable, headers: &HeaderMap) -> Option<OrganisationName> {
-    let organisations = table.organisations()?;
-    let value = headers.get(AUTHORIZATION)?.as_bytes();
-    let (scheme, key) = value.split_at_checked(BEARER.len())?;
-    let found = organisations.find(key)?;
-    let is_bearer = scheme.eq_ignore_ascii_case(BEARER);
-    is_bearer.then(|| found.name.clone())
-}
-
 fn time_left(headers: &HeaderMap, name: &http::HeaderName) -> Duration {
     let text = headers.get(name).and_then(|v| v.to_str().ok());
     let ms: Option<u64> = text.and_then(|t| t.trim().parse().ok());
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -44,7 +44,7 @@
 };
 
 use super::{
-    super::{health::Health, link::Links, net::Net, pool::Pool},
+    super::{health::Health, link::Links, net::Net, pipeline::Shared, pool::Pool},
     metrics::Latency,
     quota::Quotas,
     relay::Relay,
@@ -140,10 +140,12 @@
     pub latency: Latency,
     /// Bytes of request bodies in memory.
     pub buffered: Rc<Cell<usize>>,
+    /// Requests of callers that are started ahead of their turn.
+    pub pipeline: Shared,
     /// Random number generator.
     pub rng: RefCell<fastrand::Rng>,
     /// Requests running at the backend server.
-    pub calls: RefCell<RunningRequests>,
+    pub calls: Rc<RefCell<RunningRequests>>,
     /// Admission levels reported by the responses to requests from this instance, by their class.
     pub local_levels: RefCell<DownstreamLevels>,
     /// Admission levels reported by the responses to calls of the backend server, by the class of
@@ -192,11 +194,12 @@
             tick_due: Cell::new(Instant::now()),
             grace_end: Cell::new(None),
             local_requests: Rc::default(),
+            pipeline: Shared::new(counters.clone()),
             counters,
             latency: Latency::default(),
             buffered: Rc::default(),
             rng: RefCell::new(rng),
-            calls: RefCell::default(),
+            calls: Rc::default(),
             local_levels: RefCell::default(),
             call_levels: RefCell::default(),
             splits: RefCell::default(),
@@ -279,6 +282,12 @@
         let quota = self.bounds().quota;
         self.quotas.set_limits(table.organisations(), &quota);
         self.counters.set(Counter::ConfigRevision, revision);
+        let (organisations, keys) = table
+            .organisations()
+            .map_or((0, 0), |all| (all.len(), all.key_count()));
+        self.counters
+            .set(Counter::Organisations, organisations as u64);
+        self.counters.set(Counter::OrganisationKeys, keys as u64);
         *self.routes.borrow_mut() = Some(Rc::new(table));
         self.apply_registry();
     }
