--- a/src/protocol/header.rs
+++ b/src/protocol/header.rs
@@ -56,6 +56,10 @@
 pub const STORE_SILENT: &str = "cb-store-silent";
 /// Present when a node tells another one that it has read a change of the platform's store.
 pub const STORE_CHANGED: &str = "cb-store-changed";
+/// Version of a message about quotas, which is in the body.
+pub const QUOTA: &str = "cb-quota";
+/// Address at which the node that sends such a message serves other nodes.
+pub const QUOTA_FROM: &str = "cb-quota-from";
 /// Longest useful wait in the queue, in ms.
 pub const MAX_WAIT_MS: &str = "cb-patience-ms";
 /// Importance of the client request.
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -40,6 +40,7 @@
     auth::{self, KeyError},
     context::RequestContext,
     local::{LocalBody, LocalRequestGuard},
+    quota,
     shared::Mesh,
     trace,
 };
@@ -231,8 +232,23 @@
             trace::excluded(mesh, &context, &excluded);
             return Reply::not_run(0, "level-below", Duration::from_millis(EXCLUDED_RETRY_MS));
         }
+        let token = match context.organisation.as_ref().filter(|_| !context.begun) {
+            Some(organisation) => quota::take(mesh, organisation).await,
+            None => Ok(None),
+        };
+        let token = match token {
+            Ok(token) => token,
+            Err(over) => {
+                let reply = Reply::not_run(0, "over-quota", over.due);
+                return reply.with_status(StatusCode::TOO_MANY_REQUESTS);
+            }
+        };
         let parent = parent.as_ref().map(|parent| &parent.class);
-        attempt::run(mesh, &route, &mut context, parent).await
+        let reply = attempt::run(mesh, &route, &mut context, parent).await;
+        if let Some(token) = token.filter(|_| reply.outcome == Outcome::NotRun) {
+            quota::give_back(mesh, token);
+        }
+        reply
     }
 
     /// The table in effect, if it is another one than `table`.
@@ -318,20 +334,23 @@
     }
 }
 
-/// Builds the response for a caller: without internal headers, and with `Retry-After` of at most
-/// `max_delay` if the request was refused.
+/// Builds the response for a caller: without internal headers, and with `Retry-After` if the request
+/// was refused, of at most `max_delay` unless the caller's organisation is over its quota.
 fn caller_response(reply: Reply, max_delay: Duration) -> Response<Body> {
     let delay = reply
         .retry_after
         .filter(|_| reply.outcome == Outcome::NotRun);
-    let refused = reply.status == StatusCode::SERVICE_UNAVAILABLE;
+    let is_over_quota = reply.status == StatusCode::TOO_MANY_REQUESTS;
+    let refused = is_over_quota || reply.status == StatusCode::SERVICE_UNAVAILABLE;
     let mut response = reply.into_response();
     let headers = response.headers_mut();
     remove_internal(headers);
     headers.remove(RETRY_AFTER);
     if refused && let Some(delay) = delay {
         let min = Duration::from_millis(RETRY_AFTER_MIN_MS);
-        let delay = delay.max(min).min(max_delay.max(min));
+        // Earlier, an organisation over its quota would be refused again.
+        let max = if is_over_quota { delay } else { max_delay };
+        let delay = delay.max(min).min(max.max(min));
         let text = format!("{:.3}", delay.as_secs_f64());
         let value =
             HeaderValue::try_from(text).expect("a formatted number is a valid header value");
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -12,6 +12,7 @@
         mesh::{
             backend::{Backend as Entry, Phase},
             organisation::{Organisation, Organisations},
+            quota::QuotaBounds,
             route::{Bounds, Route, RouteTable, Service as Described, WeightedService},
             settings::{PlatformBounds, Settings as MeshSettings},
             window::Budget,
@@ -208,6 +209,7 @@
                     slack: 40.0,
                     window: Duration::from_secs(10),
                 },
+                quota: QuotaBounds::default(),
             },
         };
         let server = self.start_server(&name, at(SERVER));
