--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -11,6 +11,7 @@
 mod context;
 mod follow;
 mod inbound;
+mod intake;
 mod items;
 mod local;
 mod metrics;
@@ -24,6 +25,7 @@
 mod shared;
 mod suspects;
 mod trace;
+mod unread;
 
 pub use shared::Mesh;
 pub use trace::REQUEST;
--- a/src/transport/mesh/outbound.rs
+++ b/src/transport/mesh/outbound.rs
@@ -20,7 +20,9 @@
     coordination::gate::RefusalReason,
     protocol::{hop::remove_internal, outcome::Outcome},
     state::{
+        connections::ConnectionLimits,
         counters::Counter,
+        memory::{Charge, MemoryBudget},
         mesh::{
             calls::{self, Parent},
             route::{Route, RouteTable},
@@ -34,11 +36,12 @@
         pipeline::Shared,
         reply::{Body, Reply, reason_text},
         request::{BufferedRequest, validate},
-        server::{HEAD_TIMEOUT_MS, Handler},
+        server::{HEAD_TIMEOUT_MS, Handler, HeadLimits},
     },
     attempt,
     auth::{self, KeyError},
     context::RequestContext,
+    intake,
     local::{LocalBody, LocalRequestGuard},
     quota,
     shared::Mesh,
@@ -87,6 +90,26 @@
         idle.unwrap_or(Duration::from_millis(HEAD_TIMEOUT_MS))
     }
 
+    fn head_limits(&self) -> HeadLimits {
+        let routes = self.0.routes.borrow();
+        routes.as_ref().map_or_else(HeadLimits::default, |table| {
+            intake::head_limits(table.bounds().header_bytes)
+        })
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        let routes = self.0.routes.borrow();
+        let head = routes.as_ref().map(|table| table.bounds().header_timeout);
+        ConnectionLimits {
+            head: head.or(Some(Duration::from_millis(HEAD_TIMEOUT_MS))),
+            stall: Some(intake::stall_limit(&self.0.memory)),
+        }
+    }
+
+    fn memory(&self) -> Option<&Rc<MemoryBudget>> {
+        Some(&self.0.memory)
+    }
+
     async fn handle(
         self: Rc<Self>,
         request: Request<Incoming>,
@@ -114,7 +137,7 @@
     fn give_up(&self) -> Option<Response<LocalBody>> {
         let in_progress = LocalRequestGuard::start(&self.0.local_requests);
         let response = caller_response(Reply::failed(NO_ROOM), Duration::ZERO);
-        Some(response.map(|body| LocalBody::new(body, in_progress)))
+        Some(response.map(|body| LocalBody::new(body, in_progress, &self.0.memory)))
     }
 
     fn is_closing(&self) -> bool {
@@ -140,7 +163,7 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        response.map(|body| LocalBody::new(body, in_progress))
+        response.map(|body| LocalBody::new(body, in_progress, &mesh.memory))
     }
 
     async fn call<B>(&self, head: Parts, body: B, arrived: Instant, left: Duration) -> Reply
@@ -157,31 +180,32 @@
             let reply = Reply::not_run(0, "no-route", Duration::ZERO);
             return reply.with_status(StatusCode::NOT_FOUND);
         };
+        if intake::head_bytes(&head) > table.bounds().header_bytes {
+            let reply = Reply::not_run(0, "head-too-large", Duration::ZERO);
+            return closing(reply.with_status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+        }
         let id = head.headers.get(&mesh.names.attempt_id);
         let id = id.and_then(|v| v.to_str().ok()).unwrap_or_default();
         let separator = mesh.names.call_separator;
         let parent = mesh.calls.borrow().parent(id, separator).cloned();
         let root = calls::root_id(id, separator);
+        let Ok(charge) = intake::charge_head(&mesh.memory, &head, parent.is_some()) else {
+            mesh.counters.add(Counter::RefusedMemory, 1);
+            return closing(intake::refused());
+        };
         let mut organisation = None;
         if parent.is_none() {
             match auth::organisation(&table, &route, &head.headers) {
                 Ok(found) => organisation = found,
-                Err(error) => return self.refuse_unread(error, head, body).await,
+                Err(error) => return self.refuse_unread(error, head, body, charge).await,
             }
         }
-        let max_bytes = table.bounds().body_bytes;
-        let buffered = BufferedRequest::read_up_to(max_bytes, head, body, &mesh.buffered).await;
+        let (max_bytes, due) = (table.bounds().body_bytes, arrived + left.min(route.timeout));
+        let buffered =
+            BufferedRequest::read_up_to(max_bytes, due, head, body, &mesh.memory, charge).await;
         let mut request = match buffered {
             Ok(request) => request,
-            Err(error) => {
-                let reply = Reply::not_run(0, error.to_string(), Duration::ZERO);
-                let mut reply = reply.with_status(error.status());
-                // The rest of this request may still arrive on the connection, where it can't be
-                // told apart from the next request.
-                let close = HeaderValue::from_static("close");
-                reply.headers.insert(CONNECTION, close);
-                return reply;
-            }
+            Err(error) => return closing(intake::unread(&mesh.counters, &error)),
         };
         // A key that was removed while the body arrived is not accepted.
         if organisation.is_some()
@@ -259,13 +283,14 @@
     }
 
     /// Refuses a request for its key before its body is read.
-    async fn refuse_unread<B>(&self, error: KeyError, head: Parts, body: B) -> Reply
+    async fn refuse_unread<B>(&self, error: KeyError, head: Parts, body: B, charge: Charge) -> Reply
     where
         B: http_body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
     {
-        let buffered = &self.0.buffered;
-        let reading = BufferedRequest::read_up_to(REFUSED_BODY_MAX_BYTES, head, body, buffered);
         let time_limit = Duration::from_millis(REFUSED_BODY_TIMEOUT_MS);
+        let (due, memory) = (Instant::now() + time_limit, &self.0.memory);
+        let reading =
+            BufferedRequest::read_up_to(REFUSED_BODY_MAX_BYTES, due, head, body, memory, charge);
         let is_read = matches!(timeout(time_limit, reading).await, Ok(Ok(_)));
         let mut reply = self.refuse(error);
         if !is_read {
@@ -313,6 +338,14 @@
     }
 }
 
+/// Closes the connection after a reply: the rest of the request may still arrive on it, where it
+/// can't be told apart from the next request.
+fn closing(mut reply: Reply) -> Reply {
+    let close = HeaderValue::from_static("close");
+    reply.headers.insert(CONNECTION, close);
+    reply
+}
+
 fn find_route(table: &RouteTable, head: &Parts) -> Option<Rc<Route>> {
     let host_header = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = head.uri.host().or(host_header)?;
--- a/src/transport/mesh/quota.rs
+++ b/src/transport/mesh/quota.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde_json::{Map, Value, json};
 use thiserror::Error;
@@ -41,6 +41,7 @@
 
 use super::{
     super::{
+        chunks::Chunks,
         link::SendError,
         net::Net,
         reply::{Body, with_framing},
@@ -392,7 +393,7 @@
     lender: SocketAddr,
     ask: &Ask<QuotaKey>,
 ) -> Result<Grant> {
-    let body = Full::new(Bytes::from(form::write_ask(ask)));
+    let body = Chunks::from(Bytes::from(form::write_ask(ask)));
     let request = Request::post(format!("http://{lender}/")).body(body);
     let mut request = request.map_err(|e| ExchangeError::Answer(e.to_string()))?;
     let headers = request.headers_mut();
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -25,6 +25,7 @@
         counters::{Counter, Counters},
         id::{ClassName, ServiceName, UpstreamName},
         level::Levels,
+        memory::MemoryBudget,
         mesh::{
             backend::InstanceId,
             calls::RunningRequests,
@@ -50,6 +51,7 @@
     quota::Quotas,
     relay::Relay,
     suspects::Sharing,
+    unread::UnreadAnswers,
 };
 
 /// Share of the drain bound for which a server whose entry is missing may still get requests; the
@@ -139,8 +141,10 @@
     pub counters: Rc<Counters>,
     /// Latency histograms.
     pub latency: Latency,
-    /// Bytes of request bodies in memory.
-    pub buffered: Rc<Cell<usize>>,
+    /// Memory for what is held for callers, backend servers and other nodes.
+    pub memory: Rc<MemoryBudget>,
+    /// Streamed answers to other nodes.
+    pub unread: UnreadAnswers,
     /// Requests of callers that are started ahead of their turn.
     pub pipeline: Shared,
     /// Random number generator.
@@ -200,7 +204,8 @@
             pipeline: Shared::new(counters.clone()),
             counters,
             latency: Latency::default(),
-            buffered: Rc::default(),
+            memory: MemoryBudget::new(settings.limits.budget()),
+            unread: UnreadAnswers::default(),
             rng: RefCell::new(rng),
             calls: Rc::default(),
             local_levels: RefCell::default(),
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -51,6 +51,8 @@
         [("s".parse().unwrap(), Service { connections: 1 })].into();
     let bounds = Bounds {
         body_bytes: 1,
+        header_bytes: 1_000,
+        header_timeout: Duration::from_secs(1),
         idle_timeout: Duration::from_secs(1),
     };
     RouteTable::new(Revision(1), routes.collect(), services, bounds).unwrap()
--- a/tests/quota_fleet.rs
+++ b/tests/quota_fleet.rs
@@ -15,13 +15,13 @@
         },
     },
     transport::{
+        chunks::Chunks,
         link::Links,
         memory::{MemoryNet, Place, Process},
     },
 };
 use futures::future::join_all;
 use http::{Request, StatusCode};
-use http_body_util::Full;
 use support::{
     local,
     mesh::{INBOUND, MeshFleet, route, sealed, table},
@@ -369,7 +369,7 @@
     let request = Request::post(format!("http://{to}/"))
         .header("cb-quota", version)
         .header("cb-quota-from", from)
-        .body(Full::new(Bytes::copy_from_slice(body)))
+        .body(Chunks::from(Bytes::copy_from_slice(body)))
         .unwrap();
     let links = Links::new(net.clone(), Rc::default());
     links.send(to, request).await.unwrap().status()
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -9,6 +9,7 @@
     protocol::directory::{HeaderNames, Item},
     state::{
         id::{ServiceName, ZoneName},
+        memory::ProcessLimits,
         mesh::{
             backend::{Backend as Entry, Phase},
             organisation::{Organisation, Organisations},
@@ -70,6 +71,8 @@
     let services: BTreeMap<ServiceName, Described> = services.collect();
     let bounds = Bounds {
         body_bytes: 1 << 20,
+        header_bytes: 16_384,
+        header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
     RouteTable::new(Revision(revision), routes, services, bounds).unwrap()
@@ -211,6 +214,7 @@
                 },
                 quota: QuotaBounds::default(),
             },
+            limits: ProcessLimits::default(),
         };
         let server = self.start_server(&name, at(SERVER));
         let (mesh, stop, task, node) = self.start_node(settings);
