Quotas: ask in advance only for tokens that are very likely to be used

Cause: after each request a node asked for one more token, because the average demand contains the request just counted. Such tokens mostly expired unused, and were missing at other nodes.

--- a/src/state/mesh/quota/borrower.rs
+++ b/src/state/mesh/quota/borrower.rs
@@ -14,6 +14,10 @@
 /// Time for which tokens are asked in advance; shorter than the life of a token, because demand
 /// varies and what is not used is lost.
 const AHEAD_S: f64 = 0.5;
+/// Number of standard deviations by which the requests of that time may stay below their mean while
+/// all tokens asked in advance are still used. Tokens that expire unused are missing at other nodes:
+/// one for each request of a node that gets about one a second takes half as much again as is served.
+const AHEAD_DEVIATIONS: f64 = 1.0;
 /// Time after the last request of an organisation for which tokens are asked in advance. Its callers
 /// may have moved to other nodes, which need the tokens.
 const AHEAD_IDLE: Duration = Duration::from_millis(300);
@@ -421,7 +425,7 @@
         }
         let held = self.held();
         self.ahead = match now < self.requested_at + AHEAD_IDLE {
-            true => (self.demand.get(now) * AHEAD_S).floor() as u32,
+            true => self.expected_requests(now),
             false => 0,
         };
         let need = self.waiting.saturating_add(self.ahead).saturating_sub(held);
@@ -430,6 +434,14 @@
         (need, reserve.into())
     }
 
+    /// Number of requests that are very likely to come while tokens asked for now are valid.
+    fn expected_requests(&self, now: Instant) -> u32 {
+        // The average contains the request that is being counted.
+        let others = (self.demand.get(now) - 1.0 / DEMAND_TIME_S).max(0.0);
+        let mean = others * AHEAD_S;
+        (mean - AHEAD_DEVIATIONS * mean.sqrt()).max(0.0) as u32
+    }
+
     /// Removes the reserve tokens of a lender if no request has come for some time.
     fn take_idle_reserve(&mut self, lender: (SocketAddr, u32), now: Instant) -> u8 {
         if now < self.requested_at + RESERVE_IDLE {
