Server: make room for thousands of fields only for heads that need it

The first bytes of a connection are read before the library gets it. If they hold a whole head of at most 100 fields, the connection is served with room for 100. A later head with more fields on such a connection gets 431. tests/bounds, clients, pipelining and stops pass.

--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -19,6 +19,7 @@
 pub mod pipeline;
 pub mod platform;
 pub mod pool;
+pub mod prefixed;
 pub mod public;
 pub mod remote;
 pub mod reply;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::FutureExt as _;
 use http::{Request, Response, request::Parts};
 use hyper::{body::Incoming, service::service_fn};
@@ -17,7 +17,7 @@
     rt::{TokioIo, TokioTimer},
     server::conn::auto,
 };
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::state::{
@@ -29,6 +29,7 @@
     connections::{RequestGuard, Tracked, Watched},
     net::Listener,
     pipeline::{Mismatch, Pipeline, Shared},
+    prefixed::{Prefixed, has_few_fields, read_first},
     tasks::Tasks,
 };
 
@@ -240,14 +241,33 @@
     let streams = Tasks::default();
     let used = Rc::new(Cell::new(false));
     let mark = used.clone();
-    let (head_timeout, head_limits) = (handler.head_timeout(), handler.head_limits());
+    let (head_timeout, mut head_limits) = (handler.head_timeout(), handler.head_limits());
     let _charge = handler.memory().map(|memory| {
         let mut charge = Charge::new(memory);
         charge.grow(CONNECTION_BYTES);
         charge
     });
     let connection = guard.connection().clone();
-    let conn = Watched::new(conn, connection.clone());
+    let mut conn = Watched::new(conn, connection.clone());
+    let mut first = BytesMut::new();
+    // The HTTP library sets up room for the permitted number of fields for each head, which takes
+    // longer than the rest of the work on it if there are thousands.
+    if version == HttpVersion::Http1 && head_limits.fields > HEADERS_MAX {
+        let read = tokio::select! {
+            biased;
+            () = shutdown.drain.cancelled() => return,
+            _ = connection.ended() => return,
+            read = timeout(head_timeout, read_first(&mut conn)) => read,
+        };
+        first = match read {
+            Ok(Ok(bytes)) if !bytes.is_empty() => bytes,
+            _ => return,
+        };
+        if has_few_fields(&first, HEADERS_MAX) {
+            head_limits.fields = HEADERS_MAX;
+        }
+    }
+    let conn = Prefixed::new(first, conn);
     let tracked = connection.clone();
     let pipeline = Pipeline::new(handler, from, H::handle_ahead);
     let requests = pipeline.clone();
