Quotas: a node that starts lends its share as soon as all lenders have answered

What callers saw: when a whole fleet lost its processes at once, all requests of organisations with quotas were refused (429) for 2 to 3 s after the nodes were ready again.

Cause: a node lent its share only 2 s after its start, since a loan of its previous process might still be valid at a lender. Without shares, no lender has tokens. Lenders without shares also stated that the next token was due in 60 s, so nodes counted organisations as over their quota for a second, and a lender that had restarted got shares only with the next renewal (0.8 s).

Change: each lender states in its answer for how long it has a loan of the node that asks. When all lenders have answered, the share is free, or stays with the lender that has it. Late messages of the previous process lend nothing, because a lender accepts no stamp that is older than the node's first message. A restarted lender gets its shares at once. A node without lenders waits for the list of servers and no longer asks in a loop.

Evidence: a_fleet_that_restarts_at_once_serves_soon failed on the code before. The property test of the bound passes with 256 random schedules.

--- a/src/protocol/quota.rs
+++ b/src/protocol/quota.rs
@@ -1,11 +1,12 @@
 //! Binary form of the messages between a node and a lender of quota tokens.
 //!
-//! Version 1, with numbers in LEB128 except where a length is stated:
+//! Version 2, with numbers in LEB128 except where a length is stated:
 //!
 //! - message: fleet, 1 or 0 for a stamp or none, the stamp, then for each organisation the key
 //!   (5 bytes), the need, and one byte with the reserve in the upper and the returned tokens in the
 //!   lower half;
-//! - answer: the stamp, the number of nodes, then for each organisation the tokens, the reserve and the time until the
+//! - answer: the stamp, the number of nodes, the milliseconds until the loan of the share expires, then
+//!   for each organisation the tokens, the reserve and the time until the
 //!   next token is due;
 //! - stamp: the process (4 bytes) and the milliseconds (4 bytes), most significant byte first.
 
@@ -14,7 +15,7 @@
 use crate::state::mesh::quota::{Ask, AskEntry, Grant, GrantEntry, QuotaKey, Stamp};
 
 /// Version of the form, stated in the header of the message.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// Most organisations in one message, which bounds its size.
 pub const ENTRIES_MAX: usize = 1_024;
 /// Largest message or answer in bytes.
@@ -101,7 +102,7 @@
 /// ```
 /// use comfreybay::{protocol::quota, state::mesh::quota::{Grant, GrantEntry, Stamp}};
 /// let entry = GrantEntry { tokens: 3, reserve: 1, due_ms: 200 };
-/// let grant = Grant { stamp: Stamp { run: 1, ms: 2 }, fleet: 89, entries: vec![entry] };
+/// let grant = Grant { stamp: Stamp { run: 1, ms: 2 }, fleet: 89, lent_ms: 2_000, entries: vec![entry] };
 /// let bytes = quota::write_grant(&grant);
 /// assert_eq!(quota::read_grant(&bytes).unwrap(), grant);
 /// assert!(quota::read_grant(b"").is_err());
@@ -110,6 +111,7 @@
     let mut bytes = Vec::with_capacity(8 + grant.entries.len() * 4);
     write_stamp(&mut bytes, &grant.stamp);
     write_number(&mut bytes, grant.fleet.min(FLEET_MAX));
+    write_number(&mut bytes, grant.lent_ms.min(COUNT_MAX));
     for entry in &grant.entries {
         write_number(&mut bytes, entry.tokens);
         bytes.push(entry.reserve);
@@ -126,6 +128,7 @@
     let mut reader = Reader { bytes, at: 0 };
     let stamp = reader.stamp()?;
     let fleet = reader.number(FLEET_MAX)?;
+    let lent_ms = reader.number(COUNT_MAX)?;
     let mut entries = Vec::new();
     while !reader.is_at_end() {
         if entries.len() == ENTRIES_MAX {
@@ -140,6 +143,7 @@
     Ok(Grant {
         stamp,
         fleet,
+        lent_ms,
         entries,
     })
 }
--- a/src/state/mesh/quota.rs
+++ b/src/state/mesh/quota.rs
@@ -31,8 +31,9 @@
 /// Lifetime of a reserve token, which serves the next request of an organisation that sends few.
 /// Their number is limited, see [`Allotment::reserve`].
 pub const RESERVE_LEASE: Duration = Duration::from_secs(10);
-/// Time after its start for which a node neither lends nor uses its share: earlier loans of the
-/// same node expire, and the others learn of a new node.
+/// Longest time after its start for which a node neither lends nor uses its share, because a loan of
+/// its previous process may still be valid. It ends early when all lenders have answered and none has
+/// such a loan.
 pub const START_DELAY: Duration = SHARE_LEASE;
 
 /// Part of the permitted overshoot of the rate that is left for nodes whose views of the fleet's
@@ -181,6 +182,9 @@
     pub stamp: Stamp,
     /// Largest number of nodes that the lender or a node that has lent it a share knows.
     pub fleet: u32,
+    /// Time until the loan of the node's share to this lender expires, in ms; 0 without one. A node
+    /// that has just started learns of the loans of its previous process.
+    pub lent_ms: u32,
     /// One entry for each of the message, in the same order.
     pub entries: Vec<GrantEntry>,
 }
--- a/src/state/mesh/quota/borrower.rs
+++ b/src/state/mesh/quota/borrower.rs
@@ -1,6 +1,10 @@
 //! The node as a borrower: the tokens that it holds for requests of its callers, and its own share.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use tokio::time::Instant;
 
@@ -62,6 +66,8 @@
     /// Whether a lender has answered, which tells a node that has just started how many nodes own
     /// shares.
     is_informed: bool,
+    /// The lenders that have answered since the node started; `None` once all have.
+    answered: Option<BTreeSet<SocketAddr>>,
     /// The share is lent to this lender until then.
     lent_to: Option<SocketAddr>,
     lent_until: Instant,
@@ -122,6 +128,7 @@
         Self {
             started: now,
             is_informed: false,
+            answered: Some(BTreeSet::new()),
             lent_to: None,
             lent_until: now + START_DELAY,
             tried_at: None,
@@ -212,9 +219,10 @@
         }
     }
 
-    /// Whether the node has just started, and asks all lenders how many nodes own shares.
+    /// Whether the node has just started: it asks all lenders how many nodes own shares, and whether
+    /// they have a loan of its previous process.
     pub fn is_starting(&self, now: Instant) -> bool {
-        now < self.started + START_DELAY
+        self.answered.is_some() && now < self.started + START_DELAY
     }
 
     /// The order in which to ask the lenders: first the one that the share is lent to, because a
@@ -286,8 +294,13 @@
         now: Instant,
     ) {
         self.is_informed = true;
-        self.stamps.insert(from, grant.stamp);
+        let known = self.stamps.insert(from, grant.stamp);
+        if self.lent_to == Some(from) && known.is_some_and(|stamp| stamp.run != grant.stamp.run) {
+            // The lender has restarted and lost the loan; it gets the share at once.
+            self.tried_at = None;
+        }
         self.down.remove(&from);
+        self.record_earlier_loan(from, grant, now);
         for (asked, entry) in ask.entries.iter().zip(&grant.entries) {
             let Some(account) = self.accounts.get_mut(&asked.key) else {
                 continue;
@@ -309,6 +322,34 @@
         }
     }
 
+    /// Records, while the node is starting, whether a lender has a loan of the previous process.
+    fn record_earlier_loan(&mut self, from: SocketAddr, grant: &Grant, now: Instant) {
+        let Some(answered) = &mut self.answered else {
+            return;
+        };
+        answered.insert(from);
+        if grant.lent_ms > 0 {
+            self.lent_to = Some(from);
+            self.lent_until = now + Duration::from_millis(grant.lent_ms.into());
+        }
+    }
+
+    /// Ends the start of the node if all of these lenders have answered. Its share is free, or lent
+    /// to the lender that has the loan of its previous process.
+    fn end_start(&mut self, lenders: &[SocketAddr], now: Instant) {
+        let Some(answered) = &self.answered else {
+            return;
+        };
+        if lenders.is_empty() || !lenders.iter().all(|lender| answered.contains(lender)) {
+            return;
+        }
+        self.answered = None;
+        if self.lent_to.is_none() {
+            self.lent_until = now;
+        }
+        self.tried_at = None;
+    }
+
     /// Records that a lender has not answered. The share is lent to it again only after an answer.
     pub fn unreachable(&mut self, lender: SocketAddr, now: Instant) {
         self.stamps.remove(&lender);
@@ -321,9 +362,10 @@
         self.accounts.values().any(|a| a.missing > 0)
     }
 
-    /// Ends a round in which lenders were asked. Organisations whose requests waited for more tokens
+    /// Ends a round in which `lenders` were asked. Organisations whose requests waited for more tokens
     /// than there were are over their quota for a moment.
-    pub fn end_round(&mut self, now: Instant) {
+    pub fn end_round(&mut self, lenders: &[SocketAddr], now: Instant) {
+        self.end_start(lenders, now);
         for account in self.accounts.values_mut() {
             let due = account.due.take();
             if account.missing > account.ahead {
--- a/src/state/mesh/quota/lender.rs
+++ b/src/state/mesh/quota/lender.rs
@@ -8,7 +8,9 @@
 
 use tokio::time::Instant;
 
-use super::{Allotment, Ask, AskEntry, Grant, GrantEntry, RESERVE_LEASE, SHARE_LEASE, Stamp};
+use super::{
+    Allotment, Ask, AskEntry, Grant, GrantEntry, LENDERS, RESERVE_LEASE, SHARE_LEASE, Stamp,
+};
 
 /// Most reserve tokens in one grant.
 const RESERVE_MAX: u32 = 2;
@@ -28,6 +30,9 @@
     /// Number of nodes: the largest one known here or stated with a share.
     fleet: u32,
     shares: BTreeMap<SocketAddr, Share>,
+    /// When a node last asked without a stamp, as one that has just started does. Stamps from before
+    /// are those of its previous process, whose messages may still arrive.
+    greeted: BTreeMap<SocketAddr, Instant>,
     pools: BTreeMap<K, Pool>,
 }
 
@@ -58,6 +63,7 @@
             settled: now,
             fleet: 1,
             shares: BTreeMap::new(),
+            greeted: BTreeMap::new(),
             pools: BTreeMap::new(),
         }
     }
@@ -76,7 +82,10 @@
     ) -> Grant {
         self.expire(now);
         self.set_fleet(fleet, now);
-        if let Some(until) = ask.stamp.and_then(|stamp| self.loan_end(stamp))
+        if ask.stamp.is_none() {
+            self.greeted.insert(from, now);
+        }
+        if let Some(until) = ask.stamp.and_then(|stamp| self.loan_end(from, stamp))
             && ask.fleet > 0
             && now < until
         {
@@ -107,11 +116,13 @@
             pool.change(all, part, now);
             entries.push(pool.grant(entry, part, reserve_part, now));
         }
-        let stamp = self.stamp(now);
-        let fleet = self.fleet;
+        let lent = self.shares.get(&from).map(|share| share.until);
+        let lent = lent.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
         Grant {
-            stamp,
-            fleet,
+            stamp: self.stamp(now),
+            fleet: self.fleet,
+            // Rounded up: the node must not take the loan for expired too early.
+            lent_ms: lent.as_micros().div_ceil(1_000) as u32,
             entries,
         }
     }
@@ -137,9 +148,13 @@
         }
     }
 
-    fn loan_end(&self, stamp: Stamp) -> Option<Instant> {
+    /// When a loan with this stamp expires; `None` if the stamp is not valid.
+    fn loan_end(&self, from: SocketAddr, stamp: Stamp) -> Option<Instant> {
         let sent = self.started + Duration::from_millis(stamp.ms.into());
-        (stamp.run == self.run).then_some(sent + SHARE_LEASE)
+        let greeted = self.greeted.get(&from);
+        // Stamps are rounded down, so one from the greeting itself may lie up to 1 ms before it.
+        let is_current = greeted.is_none_or(|at| *at < sent + Duration::from_millis(1));
+        (stamp.run == self.run && is_current).then_some(sent + SHARE_LEASE)
     }
 
     fn lend(&mut self, from: SocketAddr, share: Share, now: Instant) {
@@ -186,6 +201,7 @@
             self.shares.remove(&node);
             self.clip();
         }
+        self.greeted.retain(|_, at| now < *at + SHARE_LEASE);
         if now > self.settled + IDLE_TTL {
             self.settle(now);
             self.pools.retain(|_, pool| now < pool.idle_end());
@@ -301,6 +317,8 @@
 
     fn due_ms(&self, part: f64) -> u32 {
         let missing = (1.0 - self.tokens).max(0.0);
+        // A lender that has just started gets its shares within a moment.
+        let part = part.max(1.0 / LENDERS as f64);
         let wait = Duration::try_from_secs_f64(missing / (self.all.per_second * part));
         wait.unwrap_or(DUE_MAX).min(DUE_MAX).as_millis() as u32
     }
--- a/src/transport/mesh/quota.rs
+++ b/src/transport/mesh/quota.rs
@@ -155,7 +155,11 @@
         nodes: BTreeSet<SocketAddr>,
         leaving: &BTreeSet<SocketAddr>,
     ) {
+        let had_none = self.lenders.borrow().is_empty();
         self.lenders.replace(lenders(own, nodes.iter().copied()));
+        if had_none {
+            self.wake.notify_one();
+        }
         let mut size = self.size.borrow_mut();
         size.update(nodes, leaving, Instant::now());
     }
@@ -292,7 +296,7 @@
 pub async fn run<N: Net, D: 'static>(mesh: Rc<Mesh<N, D>>, stop: CancellationToken) {
     let ask = async {
         loop {
-            if !mesh.quotas.is_active() {
+            if !mesh.quotas.is_active() || mesh.quotas.lenders.borrow().is_empty() {
                 mesh.quotas.wake.notified().await;
                 continue;
             }
@@ -346,7 +350,7 @@
         }
     }
     let mut borrower = quotas.borrower.borrow_mut();
-    borrower.end_round(Instant::now());
+    borrower.end_round(&known, Instant::now());
     let (expired, returned) = borrower.take_counts();
     let active = borrower.len() as u64;
     drop(borrower);
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -6,12 +6,12 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use comfreybay::state::mesh::organisation::Quota;
+use comfreybay::state::mesh::{organisation::Quota, quota};
 use proptest::prelude::*;
 use sim::{Key, STEP_MS, Sim, addr};
 use tokio::time::Instant;
 
-fn quota(per_second: f64, burst: f64) -> Quota {
+fn limit(per_second: f64, burst: f64) -> Quota {
     Quota { per_second, burst }
 }
 
@@ -59,7 +59,7 @@
         excess in 0.5..6.0_f64,
         events in prop::collection::vec((200_u64..4_000, event()), 1..12),
     ) {
-        let first = quota(per_second, burst);
+        let first = limit(per_second, burst);
         let mut sim = Sim::new(count, &[(1, first)], seed);
         let members: BTreeSet<_> = (0..count).map(addr).collect();
         let (mut mask, mut latest) = (u16::MAX, first);
@@ -131,7 +131,7 @@
                     sim.late = late;
                 }
                 Event::Change(factor) => {
-                    latest = quota(per_second * factor, (burst * factor).max(1.0));
+                    latest = limit(per_second * factor, (burst * factor).max(1.0));
                     pending.clear();
                     for n in 0..count {
                         let delay = Duration::from_millis(sim.rng.u64(0..2_500));
@@ -158,7 +158,7 @@
 /// while a lender on its side knows better: each side would have the whole quota.
 #[test]
 fn a_node_that_restarts_in_a_partition_learns_the_size_of_the_fleet() {
-    let all = quota(100.0, 100.0);
+    let all = limit(100.0, 100.0);
     let mut sim = warmed_up(8, &[(1, all)]);
     sim.side = (0..8).map(|n| u8::from(n < 4)).collect();
     for n in 0..4 {
@@ -193,7 +193,7 @@
 /// more than that.
 #[test]
 fn one_request_a_minute_is_served() {
-    let mut sim = warmed_up(89, &[(1, quota(1.0 / 60.0, 1.0))]);
+    let mut sim = warmed_up(89, &[(1, limit(1.0 / 60.0, 1.0))]);
     for minute in 0..10 {
         assert!(sim.request(minute * 8 % 89, 1), "minute {minute}");
         sim.run(Duration::from_secs(60));
@@ -215,11 +215,40 @@
     }
 }
 
+/// Guards against refusals below the limit for longer than a moment after the whole fleet has lost
+/// its processes at once: no loan of an earlier process is valid then.
+#[test]
+fn a_fleet_that_restarts_at_once_serves_soon() {
+    let mut sim = warmed_up(89, &[(1, limit(100.0, 100.0))]);
+    for n in 0..89 {
+        sim.restart(n, Duration::from_millis(1_000 + n as u64 * 3));
+    }
+    sim.run(Duration::from_millis(1_300 + 500));
+    let all: Vec<_> = (0..89).collect();
+    send(&mut sim, 1, 60.0, &all, Duration::from_secs(10));
+    assert_eq!(sim.refused.get(&1).copied().unwrap_or(0), 0);
+}
+
+/// Guards against refusals below the limit for longer than a moment after all lenders have restarted:
+/// the loans of the other nodes are to their earlier processes.
+#[test]
+fn lenders_that_restart_get_their_shares_back_soon() {
+    let mut sim = warmed_up(89, &[(1, limit(100.0, 100.0))]);
+    let lenders = quota::lenders(addr(0), (0..89).map(addr));
+    for n in (0..89).filter(|n| lenders.contains(&addr(*n))) {
+        sim.restart(n, Duration::from_millis(300));
+    }
+    let others: Vec<_> = (0..89).filter(|n| !lenders.contains(&addr(*n))).collect();
+    sim.run(Duration::from_millis(300 + 800 + 500));
+    send(&mut sim, 1, 60.0, &others, Duration::from_secs(10));
+    assert_eq!(sim.refused.get(&1).copied().unwrap_or(0), 0);
+}
+
 /// Guards against refusals while all traffic of an organisation, just below its limit, moves from
 /// one availability zone to another within a second.
 #[test]
 fn traffic_that_moves_between_zones_is_served() {
-    let mut sim = warmed_up(89, &[(1, quota(431.0, 431.0))]);
+    let mut sim = warmed_up(89, &[(1, limit(431.0, 431.0))]);
     let zones: Vec<Vec<usize>> = (0..3)
         .map(|z| (0..89).filter(|n| n % 3 == z).collect())
         .collect();
@@ -235,7 +264,7 @@
 /// more than the bound.
 #[test]
 fn a_surge_is_served_up_to_the_limit() {
-    let mut sim = warmed_up(89, &[(1, quota(100.0, 100.0))]);
+    let mut sim = warmed_up(89, &[(1, limit(100.0, 100.0))]);
     let all: Vec<_> = (0..89).collect();
     send(&mut sim, 1, 80.0, &all, Duration::from_secs(10));
     assert_eq!(sim.refused.get(&1).copied().unwrap_or(0), 0);
@@ -243,7 +272,7 @@
     send(&mut sim, 1, 600.0, &all, Duration::from_secs(20));
     let served = sim.served[&1].len() - before;
     assert!(served >= 1_900, "{served} served, 100 a second are allowed");
-    let allowed = sim.bounds.max(&quota(100.0, 100.0));
+    let allowed = sim.bounds.max(&limit(100.0, 100.0));
     assert!(sim.worst(1, sim.start) as f64 <= allowed);
 }
 
@@ -252,7 +281,7 @@
 #[test]
 fn the_usual_load_is_served_with_few_messages() {
     let rate = |n: Key| if n < 5 { 431.0 } else { 12.0 };
-    let quotas: Vec<_> = (0..87).map(|n| (n, quota(rate(n), rate(n)))).collect();
+    let quotas: Vec<_> = (0..87).map(|n| (n, limit(rate(n), rate(n)))).collect();
     let mut sim = warmed_up(89, &quotas);
     let seconds = 20;
     for _ in 0..seconds * 1_000 / STEP_MS {
--- a/tests/quota_fleet.rs
+++ b/tests/quota_fleet.rs
@@ -341,18 +341,18 @@
         let to = pair.mesh.own_peer();
         let long = vec![0; 1 << 20];
         let cases: [(&str, &str, &[u8]); 6] = [
-            ("1", "10.1.0.2:9002", b""),
-            ("1", "10.1.0.2:9002", b"\x01\x02"),
-            ("1", "10.1.0.2:9002", b"\xff\xff\xff\xff\x00"),
-            ("1", "nobody", b"\x01\x00"),
-            ("2", "10.1.0.2:9002", b"\x01\x00"),
-            ("1", "10.1.0.2:9002", &long),
+            ("2", "10.1.0.2:9002", b""),
+            ("2", "10.1.0.2:9002", b"\x01\x02"),
+            ("2", "10.1.0.2:9002", b"\xff\xff\xff\xff\x00"),
+            ("2", "nobody", b"\x01\x00"),
+            ("1", "10.1.0.2:9002", b"\x01\x00"),
+            ("2", "10.1.0.2:9002", &long),
         ];
         for (version, from, body) in cases {
             let status = post_quota(&net, to, version, from, body).await;
             assert_eq!(status, StatusCode::BAD_REQUEST, "{version} {from}");
         }
-        let valid = post_quota(&net, to, "1", "10.1.0.2:9002", b"\x01\x00").await;
+        let valid = post_quota(&net, to, "2", "10.1.0.2:9002", b"\x01\x00").await;
         assert_eq!(valid, StatusCode::OK);
         assert_eq!(pair.mesh.counters.get(Counter::MessagesRefused), 6);
     })
@@ -454,3 +454,23 @@
     })
     .await;
 }
+
+/// An exact token bucket for all nodes together.
+struct Bucket {
+    quota: Quota,
+    tokens: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    fn try_take(&mut self, now: Instant) -> bool {
+        let elapsed_s = now.saturating_duration_since(self.at).as_secs_f64();
+        let tokens = self.tokens + elapsed_s * self.quota.per_second;
+        (self.tokens, self.at) = (tokens.min(self.quota.burst), now);
+        let has_token = self.tokens >= 1.0;
+        if has_token {
+            self.tokens -= 1.0;
+        }
+        has_token
+    }
+}
--- a/tests/support/quota_sim.rs
+++ b/tests/support/quota_sim.rs
@@ -168,8 +168,8 @@
     /// Node `n` asks its lenders.
     pub fn round(&mut self, n: usize) {
         let now = self.now;
-        let order = lenders(addr(n), self.nodes[n].view.iter().copied());
-        let order = self.nodes[n].borrower.order(&order, now);
+        let known = lenders(addr(n), self.nodes[n].view.iter().copied());
+        let order = self.nodes[n].borrower.order(&known, now);
         let mut lends = true;
         for to in order {
             let fleet = self.nodes[n].size.get(now);
@@ -192,7 +192,7 @@
                 break;
             }
         }
-        self.nodes[n].borrower.end_round(now);
+        self.nodes[n].borrower.end_round(&known, now);
     }
 
     pub fn exchange(&mut self, from: usize, to: SocketAddr, ask: &Ask<Key>) -> Option<Grant> {
