Explain: what a node would do with a request, as a decision without I/O

An operator can see the state of a node, but not where a request would go and why: the choice depends on route, organisation, quota, levels, zones, reports and standing of each server at once.

coordination::explain answers this for one request of a caller. It uses the tables that the choice uses and changes none of them: the checks that the next choice would make run on a copy of the table, the probability of each server is computed instead of drawn, and a quota is looked at without taking a token.

Tests: a table of situations with their answers; over 120 random tables, the stated probabilities are compared with 4,000 choices each, and the reasons with servers that are never chosen; the standing of a quota is compared with what the next request gets over 200 random runs.

--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -350,5 +350,6 @@
     }
 }
 
+mod explain;
 #[cfg(test)]
 mod tests;
--- a/src/state/mesh/mod.rs
+++ b/src/state/mesh/mod.rs
@@ -4,6 +4,7 @@
 pub mod calls;
 pub mod changelog;
 pub mod downstream;
+pub mod explain;
 pub mod organisation;
 pub mod precedence;
 pub mod progress;
--- a/src/state/mesh/quota/borrower.rs
+++ b/src/state/mesh/quota/borrower.rs
@@ -9,6 +9,8 @@
     Stamp, TOKEN_LEASE,
 };
 
+mod explain;
+
 /// Time over which the demand is averaged.
 const DEMAND_TIME_S: f64 = 1.0;
 /// Time for which tokens are asked in advance; shorter than the life of a token, because demand
--- a/src/state/priority.rs
+++ b/src/state/priority.rs
@@ -37,6 +37,16 @@
         Self(u32::from(importance) << IMPORTANCE_SHIFT | early | bits >> (32 - HASH_BITS))
     }
 
+    /// The priority in the middle of the requests of an importance, for a request without an ID.
+    pub fn middle(importance: u8) -> Self {
+        Self((u32::from(importance) << IMPORTANCE_SHIFT) + EARLY_RETRY_BIT / 2)
+    }
+
+    /// The priority of an importance that is served last, early retries left out.
+    pub fn last(importance: u8) -> Self {
+        Self((u32::from(importance) << IMPORTANCE_SHIFT) + EARLY_RETRY_BIT - 1)
+    }
+
     /// Importance of the class; 0 is served first.
     pub fn importance(self) -> u8 {
         (self.0 >> IMPORTANCE_SHIFT) as u8
@@ -75,6 +85,22 @@
     pub fn admits(self, priority: Priority) -> bool {
         priority.0 <= self.0
     }
+
+    /// Share of the requests of an importance that are admitted, early retries left out.
+    ///
+    /// ```
+    /// use comfreybay::state::priority::Level;
+    /// let level = Level((1 << 24) + (1 << 22) - 1);
+    /// let shares = [0, 1, 2].map(|importance| level.admitted_share(importance));
+    /// assert_eq!(shares, [1.0, 0.5, 0.0]);
+    /// ```
+    pub fn admitted_share(self, importance: u8) -> f64 {
+        let first = u32::from(importance) << IMPORTANCE_SHIFT;
+        match self.0.checked_sub(first) {
+            Some(above) => ((f64::from(above) + 1.0) / f64::from(EARLY_RETRY_BIT)).min(1.0),
+            None => 0.0,
+        }
+    }
 }
 
 macro_rules! impl_text {
--- a/src/state/upstream.rs
+++ b/src/state/upstream.rs
@@ -4,12 +4,14 @@
 
 use super::{Error, Result, id::UpstreamName};
 
+mod considered;
 mod entry;
 mod row;
 mod service_time;
 mod subset;
 mod table;
 
+pub use considered::{Considered, Obstacle};
 pub use row::{Standing, UpstreamStatus};
 pub use service_time::{Pace, ServiceTime, ServiceTimeMeter};
 pub use subset::SUBSET_THRESHOLD;
--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -14,6 +14,8 @@
     AttemptEnd, Load, ServiceTime, Standing, UpstreamStatus,
 };
 
+mod explain;
+
 /// Weight of a new sample in the smoothed latency and success rate.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Lowest weight as a share of the slots. It is above 0 so that a recovery is noticed.
@@ -59,7 +61,7 @@
     Absent,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Entry {
     pub(super) upstream: Rc<Upstream>,
     pub(super) listing: Listing,
--- a/src/state/upstream/row.rs
+++ b/src/state/upstream/row.rs
@@ -1,11 +1,11 @@
 //! Entry of one upstream in the state dump.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::super::{id::UpstreamName, id::ZoneName, priority::Level};
 
 /// State of an upstream that determines its share of the calls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Standing {
     /// It gets calls at its full weight.
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -31,7 +31,7 @@
 const SPILL_MARGIN: f64 = 0.1;
 
 /// Upstreams of one service, with the measurements of this node.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct UpstreamTable {
     /// Name of the upstream to which this node belongs.
     own: UpstreamName,
@@ -467,5 +467,6 @@
 }
 
 mod choice;
+mod explain;
 #[cfg(test)]
 mod tests;
--- a/src/state/upstream/table/choice.rs
+++ b/src/state/upstream/table/choice.rs
@@ -4,6 +4,8 @@
 
 use super::UpstreamTable;
 
+mod shares;
+
 /// One call in so many goes to a random candidate. It brings a new report of an upstream that old or
 /// false reports keep calls away from.
 const PROBE_INTERVAL: u32 = 16;
