Explain: nodes on a platform answer questions on the metrics address

GET /explain with method, host, path, organisation and time_left_ms as a query returns the explanation as JSON.

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod call;
 pub mod directory;
+pub mod explain;
 pub mod header;
 pub mod hop;
 pub mod message;
--- a/src/transport/mesh/metrics.rs
+++ b/src/transport/mesh/metrics.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    protocol::outcome::Outcome,
+    protocol::{explain::PATH, outcome::Outcome},
     state::{
         connections::ConnectionLimits, counters::Counter, histogram::Histogram,
         mesh::registry::BackendRecord, rate::RateLimit,
@@ -25,6 +25,7 @@
 
 use super::{
     super::{net::Net, server::Handler},
+    explain,
     ready::{HEAD_TIMEOUT, IDLE_TIMEOUT, STALL, body_refused},
     shared::Mesh,
 };
@@ -91,7 +92,7 @@
     }
 }
 
-/// Serves `/metrics` and `/dump`.
+/// Serves `/metrics`, `/dump` and `/explain`.
 pub struct Metrics<N: Net, D>(pub Rc<Mesh<N, D>>);
 
 impl<N: Net, D: 'static> Handler for Metrics<N, D> {
@@ -123,6 +124,7 @@
         match request.uri().path() {
             "/metrics" => plain_text(self.metrics()),
             "/dump" => plain_text(format!("{:#}\n", self.dump())),
+            PATH => explain::answer(&self.0, request.uri()),
             _ => {
                 let mut response = plain_text("not found\n".to_owned());
                 *response.status_mut() = StatusCode::NOT_FOUND;
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod auth;
 mod context;
+mod explain;
 mod follow;
 mod inbound;
 mod intake;
--- a/src/transport/mesh/quota.rs
+++ b/src/transport/mesh/quota.rs
@@ -49,6 +49,8 @@
     shared::Mesh,
 };
 
+mod explain;
+
 /// Longest wait of a request for an answer of the lenders.
 const WAIT_MAX: Duration = Duration::from_millis(100);
 /// Time allowed for the answer of a lender, ten round trips between availability zones; a request
