comfreybay-explain: shows where a request would go now, and why

The command asks a node on a platform and prints its answer as tables or as JSON with fixed names. The fetching of documents and the tables are those of comfreybay-dump; the limits of a fetch are now a parameter, with the same values for dumps.

--- a/src/commands/dump.rs
+++ b/src/commands/dump.rs
@@ -10,13 +10,13 @@
 use super::{Error, Result, finish};
 use crate::state::{id::RootId, journal::Event};
 
-mod fetch;
+pub(super) mod fetch;
 mod show;
-mod table;
+pub(super) mod table;
 
 pub use show::{dumps, events};
 
-use fetch::get;
+use fetch::{Limits, get};
 
 const HELP: &str = "\
 Shows the state of nodes as served by their admin listeners.
@@ -153,7 +153,9 @@
 }
 
 async fn fetch_document(node: SocketAddr, path: &str) -> Result<Value, String> {
-    let (status, body) = get(node, path).await.map_err(|e| e.to_string())?;
+    let (status, body) = get(node, path, Limits::DUMP)
+        .await
+        .map_err(|e| e.to_string())?;
     if status != StatusCode::OK {
         return Err(status_error(status));
     }
--- a/src/commands/dump/fetch.rs
+++ b/src/commands/dump/fetch.rs
@@ -12,24 +12,45 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
-/// Admin listeners answer from memory; a node that takes longer is paused or unreachable.
-const REQUEST_TIMEOUT_MS: u64 = 3_000;
-/// A dump with 100 decisions takes about 30 KB.
-const BODY_MAX_BYTES: usize = 4 << 20;
+/// Limits of a request to an admin listener.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::commands) struct Limits {
+    /// Time limit for the answer. Admin listeners answer from memory; a node that takes longer is
+    /// paused or unreachable.
+    pub timeout_ms: u64,
+    /// Size limit of its body.
+    pub body_bytes: usize,
+}
+
+impl Limits {
+    /// For a dump. One with 100 decisions takes about 30 KB.
+    pub const DUMP: Self = Self {
+        timeout_ms: 3_000,
+        body_bytes: 4 << 20,
+    };
+}
 
 /// Why a request failed; its text is shown to operators.
-type FetchError = Box<dyn error::Error + Send + Sync>;
+pub(in crate::commands) type FetchError = Box<dyn error::Error + Send + Sync>;
 
 /// Requests `path` from `node`, and returns the status and body.
-pub(super) async fn get(node: SocketAddr, path: &str) -> Result<(StatusCode, Bytes), FetchError> {
-    let time_limit = Duration::from_millis(REQUEST_TIMEOUT_MS);
-    match timeout(time_limit, exchange(node, path)).await {
+pub(in crate::commands) async fn get(
+    node: SocketAddr,
+    path: &str,
+    limits: Limits,
+) -> Result<(StatusCode, Bytes), FetchError> {
+    let time_limit = Duration::from_millis(limits.timeout_ms);
+    match timeout(time_limit, exchange(node, path, limits.body_bytes)).await {
         Ok(answer) => answer,
-        Err(_) => Err(format!("no answer within {REQUEST_TIMEOUT_MS} ms").into()),
+        Err(_) => Err(format!("no answer within {} ms", limits.timeout_ms).into()),
     }
 }
 
-async fn exchange(node: SocketAddr, path: &str) -> Result<(StatusCode, Bytes), FetchError> {
+async fn exchange(
+    node: SocketAddr,
+    path: &str,
+    body_bytes: usize,
+) -> Result<(StatusCode, Bytes), FetchError> {
     let stream = TcpStream::connect(node).await?;
     let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
     let request = Request::get(path)
@@ -39,7 +60,7 @@
     let answer = async move {
         let response = sender.send_request(request).await?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), BODY_MAX_BYTES);
+        let body = Limited::new(response.into_body(), body_bytes);
         Ok((status, body.collect().await?.to_bytes()))
     };
     // The connection ends with the answer; an error of the connection also fails the answer.
--- a/src/commands/dump/table.rs
+++ b/src/commands/dump/table.rs
@@ -4,7 +4,7 @@
 
 /// A title, column heads and rows; each column is as wide as its widest cell.
 #[derive(Debug)]
-pub(super) struct Table {
+pub(in crate::commands) struct Table {
     title: String,
     /// The column heads, then the rows.
     rows: Vec<Vec<String>>,
--- a/src/commands/error.rs
+++ b/src/commands/error.rs
@@ -118,6 +118,24 @@
         /// The id of the root request.
         root: RootId,
     },
+    /// A node could not be asked about a request, or its answer could not be read.
+    #[error("could not get an explanation from {node}: {reason}")]
+    #[diagnostic(code(explain))]
+    Explain {
+        /// Address of the node.
+        node: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+    /// A node does not know something about a request.
+    #[error("could not explain the request: {what} at {node}")]
+    #[diagnostic(code(unknown))]
+    Unknown {
+        /// Address of the node.
+        node: SocketAddr,
+        /// What it does not know.
+        what: &'static str,
+    },
     /// No object has the name.
     #[error("could not find an object named {name:?}")]
     #[diagnostic(code(name))]
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod dump;
 mod error;
+pub mod explain;
 pub mod log;
 pub mod mesh;
 pub mod metrics;
