--- a/src/state/mesh/quota/borrower/explain/tests.rs
+++ b/src/state/mesh/quota/borrower/explain/tests.rs
@@ -38,10 +38,11 @@
                 let grant = Grant {
                     stamp: Stamp { run: 1, ms: 1 },
                     fleet: NODES,
+                    lent_ms: 0,
                     entries: ask.entries.iter().map(entry).collect(),
                 };
                 borrower.granted(lender, &ask, &grant, now, now);
-                borrower.end_round(now);
+                borrower.end_round(&[lender], now);
                 continue;
             }
             borrower.request(key, all, now);
