--- a/src/state/mesh/quota/borrower/explain.rs
+++ b/src/state/mesh/quota/borrower/explain.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use super::{Account, Borrower};
+use super::{Borrower, account::Account};
 use crate::state::mesh::explain::QuotaStanding;
 
 impl<K: Ord + Copy> Borrower<K> {
--- a/tests/quota_fleet.rs
+++ b/tests/quota_fleet.rs
@@ -454,23 +454,3 @@
     })
     .await;
 }
-
-/// An exact token bucket for all nodes together.
-struct Bucket {
-    quota: Quota,
-    tokens: f64,
-    at: Instant,
-}
-
-impl Bucket {
-    fn try_take(&mut self, now: Instant) -> bool {
-        let elapsed_s = now.saturating_duration_since(self.at).as_secs_f64();
-        let tokens = self.tokens + elapsed_s * self.quota.per_second;
-        (self.tokens, self.at) = (tokens.min(self.quota.burst), now);
-        let has_token = self.tokens >= 1.0;
-        if has_token {
-            self.tokens -= 1.0;
-        }
-        has_token
-    }
-}
