Server: serve later heads with many fields, with the limits in effect

Cause: the limits of the HTTP library were chosen once, by the first head of a connection. A later head with 101 to 4,096 fields got 431 although its bytes were within max_header_bytes, and a changed limit had no effect on open connections.

Change: a head is passed to the library once it is complete. If it has more than 100 fields, or the limits of the configuration have changed, the present instance of the library gets the end of the stream, sends what it has, and another instance with other limits goes on with the same connection; the next ordinary head gets a small one again. Bytes behind a body are held back, so that the library never has a head that was not examined. A head of which a part has arrived waits in the node, as it did in the library, up to the same limit.

end_is_found_however_the_bytes_are_split (tests/ahead.rs) checks HeadScan in place of HeadEnd, which it replaces: the end of a head is now also found where lines end with LF alone, as the library reads them.

--- a/src/transport/connections.rs
+++ b/src/transport/connections.rs
@@ -2,6 +2,7 @@
 //! listener.
 
 use std::{
+    cell::RefCell,
     io,
     pin::Pin,
     rc::Rc,
@@ -86,6 +87,63 @@
     }
 }
 
+/// A connection that several instances of the HTTP library use, one after the other.
+#[derive(Debug)]
+pub struct Reused<C>(Rc<RefCell<C>>);
+
+impl<C> Reused<C> {
+    /// A connection that outlives the instance of the HTTP library which gets a clone.
+    pub fn new(conn: C) -> Self {
+        Self(Rc::new(RefCell::new(conn)))
+    }
+}
+
+impl<C> Clone for Reused<C> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<C: AsyncRead + Unpin> AsyncRead for Reused<C> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl<C: AsyncWrite + Unpin> AsyncWrite for Reused<C> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+    }
+}
+
 /// Counts a request of a connection until it is dropped.
 #[derive(Debug)]
 pub struct RequestGuard(Rc<Connection>);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -19,7 +19,6 @@
 pub mod pipeline;
 pub mod platform;
 pub mod pool;
-pub mod prefixed;
 pub mod public;
 pub mod remote;
 pub mod reply;
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -4,11 +4,15 @@
 //! [`PipelineConn`] stands between the connection and the library. While a request without a body is
 //! in progress, it reads the heads behind it, and those that the handler allows are started at once.
 //! Their responses wait until the library has read the same heads and asks for them in their turn.
+//!
+//! The limits of the library are those of one instance of it. A head that needs others, because it has
+//! many fields or the configuration has changed, is read by another instance on the same connection.
 
 pub mod answer;
 pub mod conn;
 pub mod head;
 pub mod queue;
+pub mod request_body;
 pub mod signal;
 
 use std::{
@@ -28,10 +32,12 @@
 
 use crate::state::counters::{Counter, Counters};
 
-use super::server::Handler;
+use super::server::{Handler, ReadLimits};
 use answer::Answer;
 use conn::PipelineConn;
+use head::{Extent, HeadScan};
 use queue::{Next, Queue};
+use request_body::RequestBody;
 use signal::{Phase, Signal};
 
 /// Requests of one connection that are processed at once. Callers send a few to some tens ahead.
@@ -118,16 +124,17 @@
         start: fn(Rc<H>, Parts, SocketAddr) -> F,
     ) -> Rc<Self> {
         let shared = handler.pipeline();
-        let phase = match shared {
-            Some(_) => Phase::Idle,
-            None => Phase::Opaque,
+        let limits = ReadLimits::of(&*handler);
+        let (phase, limits) = match shared {
+            Some(_) => (Phase::Idle, limits.for_fields(0)),
+            None => (Phase::Opaque, limits),
         };
         Rc::new(Self {
             handler,
             from,
             start,
             shared,
-            signal: Rc::new(Signal::new(phase)),
+            signal: Rc::new(Signal::new(phase, limits)),
             queue: RefCell::default(),
         })
     }
@@ -186,18 +193,71 @@
                 queue.take_turn(&head).ok_or(Mismatch)?
             }
         };
-        self.signal.set_phase(if !request.body().is_end_stream() {
-            Phase::Opaque
+        let body = request.body();
+        let (phase, body) = if !body.is_end_stream() {
+            (Phase::Opaque, RequestBody::new(body.size_hint().exact()))
         } else if is_started {
-            Phase::Open
+            (Phase::Open, RequestBody::Ended)
         } else if keeps_connection(request) {
-            Phase::Begun
+            (Phase::Begun, RequestBody::Ended)
         } else {
-            Phase::Shut
-        });
+            (Phase::Shut, RequestBody::Ended)
+        };
+        self.signal.begin(phase, body);
         Ok(is_started)
     }
 
+    /// The limits with which the HTTP library reads the connection now.
+    pub fn limits(&self) -> ReadLimits {
+        self.signal.limits.get()
+    }
+
+    /// Whether the connection goes on with another instance of the HTTP library, which has
+    /// [`Self::limits`]: the last one got no more bytes because the next head needs other limits.
+    pub fn goes_on(&self) -> bool {
+        let next = self.signal.next_limits.take();
+        if let Some(limits) = next {
+            self.signal.limits.set(limits);
+        }
+        next.is_some()
+    }
+
+    /// Whether the next head can be read with the present limits. They have to be those in effect now.
+    fn admit(&self, head: NextHead) -> bool {
+        let (present, limits) = (self.limits(), ReadLimits::of(&*self.handler));
+        let limits = match head {
+            // It was accepted under the limits of an earlier time.
+            NextHead::Started { .. } => ReadLimits {
+                bytes: limits.bytes.max(present.bytes),
+                ..limits.for_fields(0)
+            },
+            NextHead::Unstarted { fields, .. } => limits.for_fields(fields),
+        };
+        let is_admitted = limits == present;
+        self.signal
+            .next_limits
+            .set((!is_admitted).then_some(limits));
+        is_admitted
+    }
+
+    /// Examines the bytes that are kept; `None` if the next head has not arrived yet.
+    fn next_head(&self, scan: &mut HeadScan) -> Option<NextHead> {
+        let queue = self.queue.borrow();
+        let queue = queue.as_ref()?;
+        if let Some(bytes) = queue.first_unread() {
+            return Some(NextHead::Started { bytes });
+        }
+        match scan.scan(queue.unread()) {
+            Extent::Complete { bytes, fields } => Some(NextHead::Unstarted { bytes, fields }),
+            Extent::Odd => Some(NextHead::UNKNOWN),
+            // One that is too long is refused by the HTTP library.
+            Extent::Partial if queue.unread().len() >= ReadLimits::of(&*self.handler).bytes => {
+                Some(NextHead::UNKNOWN)
+            }
+            Extent::Partial => None,
+        }
+    }
+
     fn poll_response(&self) -> Poll<Response<Answer<H::Body>>> {
         let mut queue = self.queue.borrow_mut();
         let response = queue.as_mut().and_then(|queue| queue.pop());
@@ -317,6 +377,29 @@
     }
 }
 
+/// A head that is to be read by the HTTP library.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NextHead {
+    /// That of a request which was started; it has few fields.
+    Started { bytes: usize },
+    /// Another one.
+    Unstarted { bytes: usize, fields: usize },
+}
+
+impl NextHead {
+    /// One whose end does not come, so that the HTTP library gets all bytes and refuses it.
+    const UNKNOWN: Self = Self::Unstarted {
+        bytes: usize::MAX,
+        fields: 0,
+    };
+
+    fn bytes(self) -> usize {
+        match self {
+            Self::Started { bytes } | Self::Unstarted { bytes, .. } => bytes,
+        }
+    }
+}
+
 fn keeps_connection<B>(request: &Request<B>) -> bool {
     head::keeps_connection(request.version(), request.headers())
 }
--- a/src/transport/pipeline/head.rs
+++ b/src/transport/pipeline/head.rs
@@ -99,59 +99,64 @@
         && !headers.contains_key(UPGRADE)
 }
 
-/// Finds the end of a head in bytes that arrive in parts.
+/// What is known of the head that unread bytes begin with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Extent {
+    /// Its end has not arrived.
+    Partial,
+    /// It has these numbers of bytes and of fields.
+    Complete {
+        /// Bytes with those of empty lines before it.
+        bytes: usize,
+        /// Number of lines behind the request line.
+        fields: usize,
+    },
+    /// It does not begin with a method; the HTTP library refuses it.
+    Odd,
+}
+
+/// Finds the end and the number of fields of a head in bytes that arrive in parts.
 ///
-/// It only decides how many bytes the HTTP library gets at once; a wrong result delays requests
-/// behind, but nothing is started because of it.
+/// It only decides how many bytes the HTTP library gets at once and with which limits it reads them;
+/// nothing is started because of it. Lines may end with LF alone, as the library accepts them.
 #[derive(Debug, Default)]
-pub struct HeadEnd {
-    /// Number of bytes of the end mark that the bytes so far end with.
-    matched: usize,
+pub struct HeadScan {
+    scanned: usize,
+    line_start: usize,
+    /// Lines that are not empty.
+    lines: usize,
 }
 
-impl HeadEnd {
-    /// The number of `bytes` up to the end of the head, if it is in them.
+impl HeadScan {
+    /// The extent of the head at the beginning of `bytes`, which are those of the calls before and
+    /// further ones.
     ///
     /// ```
-    /// use comfreybay::transport::pipeline::head::HeadEnd;
-    /// let mut end = HeadEnd::default();
-    /// assert_eq!(end.find(b"GET / HTTP/1.1\r\n\r"), None);
-    /// assert_eq!(end.find(b"\nGET"), Some(1));
+    /// use comfreybay::transport::pipeline::head::{Extent, HeadScan};
+    /// let mut scan = HeadScan::default();
+    /// let head = b"GET / HTTP/1.1\r\nhost: a\r\nx: 1\r\n\r\nGET";
+    /// assert_eq!(scan.scan(&head[..20]), Extent::Partial);
+    /// let (bytes, fields) = (head.len() - 3, 2);
+    /// assert_eq!(scan.scan(head), Extent::Complete { bytes, fields });
     /// ```
-    pub fn find(&mut self, bytes: &[u8]) -> Option<usize> {
-        if self.matched > 0 {
-            for (at, byte) in bytes.iter().take(HEAD_END.len() - 1).enumerate() {
-                if self.advance(*byte) {
-                    return Some(at + 1);
-                }
-            }
+    pub fn scan(&mut self, bytes: &[u8]) -> Extent {
+        let is_begin = |byte: &u8| byte.is_ascii_alphabetic() || [b'\r', b'\n'].contains(byte);
+        if !bytes.first().is_none_or(is_begin) {
+            return Extent::Odd;
         }
-        if let Some(at) = memchr::memmem::find(bytes, HEAD_END) {
-            self.matched = 0;
-            return Some(at + HEAD_END.len());
-        }
-        let tail = bytes.len().saturating_sub(HEAD_END.len() - 1);
-        if tail > 0 || self.matched == 0 {
-            self.matched = 0;
-            for byte in &bytes[tail..] {
-                self.advance(*byte);
+        let from = std::mem::replace(&mut self.scanned, bytes.len());
+        for at in memchr::memchr_iter(b'\n', &bytes[from..]) {
+            let line = &bytes[self.line_start..from + at];
+            self.line_start = from + at + 1;
+            if !matches!(line, b"" | b"\r") {
+                self.lines += 1;
+            } else if self.lines > 0 {
+                return Extent::Complete {
+                    bytes: self.line_start,
+                    fields: self.lines - 1,
+                };
             }
         }
-        None
-    }
-
-    /// Takes one byte; `true` at the end of the mark.
-    fn advance(&mut self, byte: u8) -> bool {
-        self.matched = match (byte, self.matched) {
-            (b'\r', 2) => 3,
-            (b'\r', _) => 1,
-            (b'\n', 1) => 2,
-            (b'\n', 3) => {
-                self.matched = 0;
-                return true;
-            }
-            _ => 0,
-        };
-        false
+        Extent::Partial
     }
 }
--- a/src/transport/pipeline/queue.rs
+++ b/src/transport/pipeline/queue.rs
@@ -17,7 +17,8 @@
 use super::{
     BytesHeld, REQUESTS_MAX, UNREAD_MAX_BYTES,
     answer::{Answer, Charge},
-    head::{self, Head, HeadEnd},
+    head::{self, Head},
+    request_body::RequestBody,
 };
 use crate::transport::body::BUFFER_MAX_BYTES;
 
@@ -102,6 +103,11 @@
         self.unread.is_empty()
     }
 
+    /// The bytes that the HTTP library has not got.
+    pub fn unread(&self) -> &[u8] {
+        &self.unread
+    }
+
     /// Whether no request that was started waits for its turn.
     pub fn is_empty(&self) -> bool {
         self.started.is_empty()
@@ -206,8 +212,13 @@
         is_answered
     }
 
-    /// Takes the first bytes for the HTTP library, at most `max` and up to the end of one head.
-    pub fn take(&mut self, max: usize, end: &mut HeadEnd) -> BytesMut {
+    /// Bytes of the head of the first started request that the HTTP library has not got.
+    pub fn first_unread(&self) -> Option<usize> {
+        self.started.front().map(|first| first.unread)
+    }
+
+    /// Takes the first bytes for the HTTP library, at most `max` and up to the end of a started head.
+    pub fn take(&mut self, max: usize) -> BytesMut {
         let size = match self.started.front_mut() {
             Some(first) => {
                 let size = first.unread.min(max);
@@ -217,17 +228,24 @@
             }
             None => {
                 self.begin_head();
-                let bytes = &self.unread[..self.unread.len().min(max)];
-                end.find(bytes).unwrap_or(bytes.len())
+                self.unread.len().min(max)
             }
         };
-        self.unread.split_to(size)
+        self.split(size)
     }
 
-    /// Takes up to `max` bytes for the HTTP library, whatever they are.
-    pub fn take_any(&mut self, max: usize) -> BytesMut {
+    /// Takes up to `max` bytes for the HTTP library that belong to `body`.
+    pub fn take_body(&mut self, max: usize, body: &mut RequestBody) -> BytesMut {
         self.begin_head();
-        self.unread.split_to(self.unread.len().min(max))
+        let size = body.take(&self.unread[..self.unread.len().min(max)]);
+        self.split(size)
+    }
+
+    fn split(&mut self, size: usize) -> BytesMut {
+        if size == self.unread.len() {
+            return std::mem::take(&mut self.unread);
+        }
+        self.unread.split_to(size)
     }
 
     /// Notes that the HTTP library has read this head. Returns whether it is that of the first
@@ -248,9 +266,6 @@
         let response = self.started.front_mut()?.response.take()?;
         self.started.pop_front();
         self.is_first_taken = false;
-        if self.unread.is_empty() {
-            self.unread = BytesMut::new();
-        }
         Some(response)
     }
 }
--- a/src/transport/pipeline/signal.rs
+++ b/src/transport/pipeline/signal.rs
@@ -5,6 +5,8 @@
     task::Waker,
 };
 
+use super::{super::server::ReadLimits, request_body::RequestBody};
+
 /// The request that the HTTP library is processing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -17,7 +19,7 @@
     Open,
     /// One without a body, behind which nothing may be started.
     Shut,
-    /// One with a body, or any if nothing is read ahead: all bytes are passed on as they arrive.
+    /// One with a body, or any if nothing is read ahead: nothing behind it is started.
     Opaque,
 }
 
@@ -31,14 +33,23 @@
     pub is_blocked: Cell<bool>,
     /// Whether the adapter holds bytes that the HTTP library has not got.
     pub has_unread: Cell<bool>,
+    /// Limits of the instance of the HTTP library that has the connection.
+    pub limits: Cell<ReadLimits>,
+    /// Limits that the next head needs, if they are others: this instance gets no more bytes.
+    pub next_limits: Cell<Option<ReadLimits>>,
+    /// The body of a request that the HTTP library has begun to read.
+    body: RefCell<Option<RequestBody>>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl Signal {
-    /// The state of a new connection in `phase`.
-    pub fn new(phase: Phase) -> Self {
+    /// The state of a new connection in `phase`, whose first head is read with `limits`.
+    pub fn new(phase: Phase, limits: ReadLimits) -> Self {
         Self {
             phase: Cell::new(phase),
+            limits: Cell::new(limits),
+            next_limits: Cell::default(),
+            body: RefCell::default(),
             stopped: Cell::new(false),
             is_blocked: Cell::new(false),
             has_unread: Cell::new(false),
@@ -51,9 +62,15 @@
         self.phase.get()
     }
 
-    /// Sets the request that is being processed.
-    pub fn set_phase(&self, phase: Phase) {
+    /// Sets the request that is being processed, and its body.
+    pub fn begin(&self, phase: Phase, body: RequestBody) {
         self.phase.set(phase);
+        self.body.replace(Some(body));
+    }
+
+    /// The body of a request, once after its beginning.
+    pub fn take_body(&self) -> Option<RequestBody> {
+        self.body.take()
     }
 
     /// Allows requests to be started behind the one that is being processed, unless it shuts the
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::FutureExt as _;
 use http::{Request, Response, request::Parts};
 use hyper::{body::Incoming, service::service_fn};
@@ -17,7 +17,7 @@
     rt::{TokioIo, TokioTimer},
     server::conn::auto,
 };
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::state::{
@@ -26,10 +26,9 @@
 };
 
 use super::{
-    connections::{RequestGuard, Tracked, Watched},
+    connections::{RequestGuard, Reused, Tracked, Watched},
     net::Listener,
     pipeline::{Mismatch, Pipeline, Shared},
-    prefixed::{Prefixed, has_few_fields, read_first},
     tasks::Tasks,
 };
 
@@ -98,6 +97,46 @@
     }
 }
 
+/// Limits with which the HTTP library reads a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadLimits {
+    /// Size of a head on an HTTP/1.1 connection, in bytes.
+    pub bytes: usize,
+    /// Number of fields for which there is room on an HTTP/1.1 connection.
+    pub fields: usize,
+    /// Size of a head on an HTTP/2 connection, in bytes as HTTP/2 counts them.
+    pub list_bytes: usize,
+    /// Time limit for a head.
+    pub head_timeout: Duration,
+}
+
+impl ReadLimits {
+    /// The limits that a handler has at this moment.
+    pub fn of<H: Handler>(handler: &H) -> Self {
+        let limits = handler.head_limits();
+        Self {
+            bytes: limits.bytes,
+            fields: limits.fields,
+            list_bytes: limits.list_bytes,
+            head_timeout: handler.head_timeout(),
+        }
+    }
+
+    /// The same with room for a head with `fields`.
+    ///
+    /// The HTTP library sets up the room for each head, which takes longer than the rest of the work
+    /// on it if there are thousands.
+    pub fn for_fields(self, fields: usize) -> Self {
+        match fields <= HEADERS_MAX {
+            true => Self {
+                fields: self.fields.min(HEADERS_MAX),
+                ..self
+            },
+            false => self,
+        }
+    }
+}
+
 /// Request handler of a listener.
 pub trait Handler: 'static {
     /// Body of the responses.
@@ -241,33 +280,13 @@
     let streams = Tasks::default();
     let used = Rc::new(Cell::new(false));
     let mark = used.clone();
-    let (head_timeout, mut head_limits) = (handler.head_timeout(), handler.head_limits());
     let _charge = handler.memory().map(|memory| {
         let mut charge = Charge::new(memory);
         charge.grow(CONNECTION_BYTES);
         charge
     });
     let connection = guard.connection().clone();
-    let mut conn = Watched::new(conn, connection.clone());
-    let mut first = BytesMut::new();
-    // The HTTP library sets up room for the permitted number of fields for each head, which takes
-    // longer than the rest of the work on it if there are thousands.
-    if version == HttpVersion::Http1 && head_limits.fields > HEADERS_MAX {
-        let read = tokio::select! {
-            biased;
-            () = shutdown.drain.cancelled() => return,
-            _ = connection.ended() => return,
-            read = timeout(head_timeout, read_first(&mut conn)) => read,
-        };
-        first = match read {
-            Ok(Ok(bytes)) if !bytes.is_empty() => bytes,
-            _ => return,
-        };
-        if has_few_fields(&first, HEADERS_MAX) {
-            head_limits.fields = HEADERS_MAX;
-        }
-    }
-    let conn = Prefixed::new(first, conn);
+    let conn = Watched::new(conn, connection.clone());
     let tracked = connection.clone();
     let pipeline = Pipeline::new(handler, from, H::handle_ahead);
     let requests = pipeline.clone();
@@ -280,58 +299,70 @@
             Ok::<_, Mismatch>(response.map(|body| Tracked::new(body, in_progress)))
         }
     });
-    let builder = builder(version, head_timeout, head_limits, streams.clone());
-    let io = TokioIo::new(pipeline.adapt(conn));
-    let mut conn = pin!(builder.serve_connection(io, service));
-    // The HTTP library applies its time limit for heads only once it has detected the version.
-    let unused_timeout = async {
-        sleep(head_timeout).await;
-        if used.get() {
-            std::future::pending().await
-        }
-    };
-    let ended = tokio::select! {
-        biased;
-        () = async {
-            shutdown.drain.cancelled().await;
-            pipeline.stop();
-            pipeline.emptied().await;
-        } => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
-        }
-        ended = conn.as_mut() => ended,
-        never = pipeline.drive() => match never {},
-        () = unused_timeout => return,
-        is_overdue = connection.ended() => {
-            if !is_overdue {
-                // Another node is told that the connection ends. It is not waited for, as the
-                // descriptor is needed.
-                conn.as_mut().graceful_shutdown();
-                let _ = conn.now_or_never();
+    let io = Reused::new(pipeline.adapt(conn));
+    let mut is_first = true;
+    loop {
+        let limits = pipeline.limits();
+        let builder = builder(version, limits, streams.clone());
+        let mut conn = pin!(builder.serve_connection(TokioIo::new(io.clone()), service.clone()));
+        // A head for which the connection goes on has arrived, and is served during a stop too.
+        let ended = match is_first {
+            true => None,
+            false => conn.as_mut().now_or_never(),
+        };
+        is_first = false;
+        // The HTTP library applies its time limit for heads only once it has detected the version.
+        let unused_timeout = async {
+            sleep(limits.head_timeout).await;
+            if used.get() {
+                std::future::pending().await
             }
-            streams.abort().await;
-            return;
+        };
+        let ended = match ended {
+            Some(ended) => ended,
+            None => tokio::select! {
+                biased;
+                () = async {
+                    shutdown.drain.cancelled().await;
+                    pipeline.stop();
+                    pipeline.emptied().await;
+                } => {
+                    conn.as_mut().graceful_shutdown();
+                    conn.await
+                }
+                ended = conn.as_mut() => ended,
+                never = pipeline.drive() => match never {},
+                () = unused_timeout => return,
+                is_overdue = connection.ended() => {
+                    if !is_overdue {
+                        // Another node is told that the connection ends. It is not waited for, as
+                        // the descriptor is needed.
+                        conn.as_mut().graceful_shutdown();
+                        let _ = conn.now_or_never();
+                    }
+                    streams.abort().await;
+                    return;
+                }
+            },
+        };
+        if let Err(error) = ended {
+            log::debug!("connection from {from} ended: {error}");
+            break;
+        }
+        if !pipeline.goes_on() {
+            break;
         }
-    };
-    if let Err(error) = ended {
-        log::debug!("connection from {from} ended: {error}");
     }
     // The connection has ended, so its streams that are still running are aborted.
     streams.abort().await;
 }
 
-fn builder(
-    version: HttpVersion,
-    head_timeout: Duration,
-    limits: HeadLimits,
-    streams: Tasks,
-) -> auto::Builder<Tasks> {
+fn builder(version: HttpVersion, limits: ReadLimits, streams: Tasks) -> auto::Builder<Tasks> {
     let mut builder = auto::Builder::new(streams);
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
+        .header_read_timeout(limits.head_timeout)
         .max_headers(limits.fields)
         .max_buf_size(limits.bytes);
     builder
--- a/tests/ahead.rs
+++ b/tests/ahead.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use comfreybay::transport::pipeline::{
     BytesHeld, CONN_WAITING_MAX_BYTES, NODE_WAITING_MAX_BYTES, REQUESTS_MAX, UNREAD_MAX_BYTES,
-    head::{Head, HeadEnd, keeps_connection, read},
+    head::{Extent, Head, HeadScan, keeps_connection, read},
     queue::{Next, Queue},
 };
 use http::{HeaderMap, HeaderValue, Response, Version, header::CONNECTION};
@@ -174,15 +174,23 @@
         text in vec(proptest::sample::select(b"\r\na".to_vec()), 0..24),
         sizes in vec(1..5_usize, 1..24),
     ) {
-        let expected = text.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
-        let (mut end, mut at, mut found) = (HeadEnd::default(), 0, None);
+        // The first empty line behind one that is not.
+        let (mut expected, mut at, mut lines) = (Extent::Partial, 0, 0);
+        for line in text.split_inclusive(|byte| *byte == b'\n') {
+            at += line.len();
+            if matches!(line, b"\n" | b"\r\n") && lines > 0 {
+                expected = Extent::Complete { bytes: at, fields: lines - 1 };
+                break;
+            }
+            lines += usize::from(!matches!(line, b"\n" | b"\r\n"));
+        }
+        let (mut scan, mut at, mut found) = (HeadScan::default(), 0, Extent::Partial);
         for size in sizes.iter().cycle() {
-            if at == text.len() || found.is_some() {
+            if at == text.len() || found != Extent::Partial {
                 break;
             }
-            let part = &text[at..text.len().min(at + size)];
-            found = end.find(part).map(|size| at + size);
-            at += part.len();
+            at = text.len().min(at + size);
+            found = scan.scan(&text[..at]);
         }
         prop_assert_eq!(found, expected);
     }
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -66,12 +66,17 @@
 }
 
 pub fn table(revision: u64, routes: Vec<Route>) -> RouteTable {
+    table_with(revision, routes, 16_384)
+}
+
+/// A table with this limit of the bytes of a head.
+pub fn table_with(revision: u64, routes: Vec<Route>, header_bytes: usize) -> RouteTable {
     let services = routes.iter().flat_map(|r| &r.services);
     let services = services.map(|p| (p.service.clone(), Described { connections: 100 }));
     let services: BTreeMap<ServiceName, Described> = services.collect();
     let bounds = Bounds {
         body_bytes: 1 << 20,
-        header_bytes: 16_384,
+        header_bytes,
         header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
