Choice of a server: measure without a pace, by class, and a switch

Cause: only servers that report the pace of their machine were measured. Elsewhere calls were chosen by load and own latency. The measured time was one mean over all classes, random calls went to any server, and fast servers were filled while slower ones had slots free.

Calls at a nearly full server raise it only by what a knee of 1.4 can't explain. - cb-service-time is that of the answer's class; callers' nodes compare it with the usual time of the class over the service. A difference counts only beyond twice its standard error and fades over 10 s. - The expected delay grows steeply just below the slots, and includes calls sent since the last report.

--- a/src/coordination/router.rs
+++ b/src/coordination/router.rs
@@ -12,7 +12,7 @@
 use crate::state::{
     budget::RetryBudget,
     config::Config,
-    id::{ServiceName, UpstreamName, ZoneName},
+    id::{ClassName, ServiceName, UpstreamName, ZoneName},
     level::{Levels, ReportedLevel},
     object::{Control, Upstream},
     priority::{Level, Priority},
@@ -189,11 +189,24 @@
         }
     }
 
-    /// Updates the service time that the node of an upstream reported.
-    pub fn update_service_time(&self, upstream: &UpstreamName, time: ServiceTime) {
+    /// Updates the service time that the node of an upstream reported for a class of calls.
+    pub fn update_service_time(
+        &self,
+        upstream: &UpstreamName,
+        class: &ClassName,
+        time: ServiceTime,
+    ) {
         let now = Instant::now();
         if let Some(service) = self.inner.borrow_mut().service_of(upstream) {
-            service.table.update_service_time(upstream, time, now);
+            let table = &mut service.table;
+            table.update_service_time(upstream, class, time, now);
+        }
+    }
+
+    /// Discards all reported service times, so that upstreams are chosen by load alone.
+    pub fn forget_service_times(&self) {
+        for service in self.inner.borrow_mut().services.values_mut() {
+            service.table.forget_service_times();
         }
     }
 
--- a/src/state/mesh/settings.rs
+++ b/src/state/mesh/settings.rs
@@ -48,6 +48,8 @@
     pub bounds: PlatformBounds,
     /// Limits that the machine imposes on the process.
     pub limits: ProcessLimits,
+    /// Whether servers are chosen by expected delay where they report their load; otherwise by load.
+    pub select_by_delay: bool,
 }
 
 /// An error in the settings.
@@ -86,8 +88,8 @@
         Ok(self)
     }
 
-    /// Checks that a running node can take over `changed` settings: only the store's address and the
-    /// bounds may differ.
+    /// Checks that a running node can take over `changed` settings: only the store's address, the
+    /// bounds and the choice by expected delay may differ.
     ///
     /// # Errors
     /// Another setting differs.
--- a/src/state/upstream.rs
+++ b/src/state/upstream.rs
@@ -4,14 +4,17 @@
 
 use super::{Error, Result, id::UpstreamName};
 
+mod class_times;
 mod entry;
+mod meter;
 mod row;
 mod service_time;
 mod subset;
 mod table;
 
+pub use meter::ServiceTimeMeter;
 pub use row::{Standing, UpstreamStatus};
-pub use service_time::{Pace, ServiceTime, ServiceTimeMeter};
+pub use service_time::{Pace, ServiceTime};
 pub use subset::SUBSET_THRESHOLD;
 pub use table::UpstreamTable;
 
--- a/src/state/upstream/entry.rs
+++ b/src/state/upstream/entry.rs
@@ -11,7 +11,7 @@
         priority::{Level, Priority},
         rate::RateLimit,
     },
-    AttemptEnd, Load, ServiceTime, Standing, UpstreamStatus,
+    AttemptEnd, Load, Pace, Standing, UpstreamStatus,
 };
 
 /// Weight of a new sample in the smoothed latency and success rate.
@@ -34,9 +34,19 @@
 /// Time over which a reported pace fades to the usual one. Machines that are shared with other
 /// workloads are slow for about 600 ms at a time.
 const PACE_TTL: Duration = Duration::from_millis(600);
+/// Time over which a reported factor fades to the median: a server that got fewer calls because it was
+/// slow gets them back within 10 s of its recovery, although few answers bring a new report.
+const FACTOR_FADE: Duration = Duration::from_secs(10);
+/// Uncertainty of a reported factor: two standard errors of the mean of 32 calls whose times deviate
+/// by 0.6 of their mean. A smaller difference from the median does not count.
+const FACTOR_ERROR: f64 = 0.15;
 /// Largest factor by which a reported service time counts as longer or shorter than the median
 /// of the service. Speeds differ by up to 3.4; a false report can neither draw all calls nor keep all away.
 const SERVICE_TIME_FACTOR_MAX: f64 = 4.0;
+/// Delay that a call adds by taking the last slot of a server, as a multiple of the service time. It
+/// grows steeply just below, so that fast servers are not filled while slower ones have room: calls
+/// come in clusters, and reports are up to seconds old.
+const CROWDING: f64 = 2.0;
 /// Maximum number of queued calls per slot accepted from a report; the excess is ignored.
 const QUEUED_PER_SLOT: f64 = 4.0;
 /// Time for which an upstream gets no calls after a failed connection attempt, while others are
@@ -59,6 +69,15 @@
     Absent,
 }
 
+/// Time that calls take at an upstream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RelativeTime {
+    /// Factor by which calls take longer than the usual ones of their class, at the usual pace.
+    pub(super) factor: f64,
+    /// Pace of its machine.
+    pub(super) pace: Pace,
+}
+
 #[derive(Debug)]
 pub(super) struct Entry {
     pub(super) upstream: Rc<Upstream>,
@@ -70,6 +89,8 @@
     pub(super) rate_limit: Option<RateLimit>,
     /// Calls of this node in flight.
     in_flight: u32,
+    /// Calls that this node has sent since the last report, which does not contain them.
+    sent: u32,
     /// Smoothed latency in seconds.
     latency: Option<f64>,
     /// Smoothed share of attempts that succeeded.
@@ -90,7 +111,7 @@
     /// Last report, with the time at which it arrived.
     report: Option<(Load, Level, Instant)>,
     /// Last reported service time, with the time at which it arrived.
-    service_time: Option<(ServiceTime, Instant)>,
+    service_time: Option<(RelativeTime, Instant)>,
 }
 
 impl Entry {
@@ -102,6 +123,7 @@
             is_local,
             rate_limit: None,
             in_flight: 0,
+            sent: 0,
             latency: None,
             success: 1.0,
             failures: 0,
@@ -117,6 +139,7 @@
     }
 
     pub(super) fn record_start(&mut self) {
+        self.sent += 1;
         self.in_flight += 1;
     }
 
@@ -156,42 +179,57 @@
 
     pub(super) fn update_load(&mut self, load: Load, level: Level, now: Instant) {
         self.report = Some((load, level, now));
+        self.sent = 0;
     }
 
-    pub(super) fn update_service_time(&mut self, time: ServiceTime, now: Instant) {
+    pub(super) fn update_service_time(&mut self, time: RelativeTime, now: Instant) {
         self.service_time = Some((time, now));
     }
 
-    /// The usual service time that it has reported, in seconds.
-    pub(super) fn usual_time(&self, now: Instant) -> Option<f64> {
+    /// Factor by which calls take longer at it than usual, as last reported.
+    pub(super) fn factor(&self, now: Instant) -> Option<f64> {
         let (time, _) = self.fresh_service_time(now)?;
-        Some(time.usual.as_secs_f64())
+        Some(time.factor)
     }
 
-    /// Time in seconds until the answer to one more call is expected. `median` is the median service
-    /// time of the upstreams that have reported one, and counts where this one has not.
+    /// Factor by which a call is expected to take longer than at the median of the service, whose
+    /// factor is `median`; 1 if it has reported none.
+    pub(super) fn slowness(&self, median: f64, now: Instant) -> f64 {
+        let Some((time, at)) = self.fresh_service_time(now) else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        let trust = |ttl: Duration| (1.0 - age / ttl.as_secs_f64()).max(0.0);
+        let relative = bounded(time.factor / median);
+        // The square of its logarithm, nearly.
+        let distance = (relative - 1.0).powi(2) / relative;
+        let certainty =
+            (1.0 - FACTOR_ERROR * FACTOR_ERROR / distance.max(f64::MIN_POSITIVE)).max(0.0);
+        let usual = 1.0 + (relative - 1.0) * certainty * trust(FACTOR_FADE);
+        let pace = 1.0 + (time.pace.factor() - 1.0) * trust(PACE_TTL);
+        bounded(usual * pace)
+    }
+
+    /// Time until the answer to one more call is expected, as a multiple of the median service time.
     ///
     /// Up to its capacity a server takes the service time, and somewhat more the fuller it is, as
     /// calls arrive in clusters and reports are old; beyond it, each further call waits.
     pub(super) fn expected_delay(&self, median: f64, now: Instant) -> f64 {
-        let (usual, pace) = match self.fresh_service_time(now) {
-            Some((time, at)) => {
-                let age = now.saturating_duration_since(at).as_secs_f64();
-                let trust = (1.0 - age / PACE_TTL.as_secs_f64()).max(0.0);
-                let pace = 1.0 + (time.pace.factor() - 1.0) * trust;
-                (time.usual.as_secs_f64(), pace)
-            }
-            None => (median, 1.0),
-        };
-        let range = median / SERVICE_TIME_FACTOR_MAX..=median * SERVICE_TIME_FACTOR_MAX;
-        let service = (usual * pace).clamp(*range.start(), *range.end());
         let health = (self.ramp(now) * self.success).max(WEIGHT_MIN);
-        let used = (self.load(now) + 1.0) / (self.capacity(now) * health);
-        let crowding = if used <= 1.0 { used.powi(4) } else { used };
-        service * (1.0 + crowding) / health
+        // Without a report, the calls in flight contain those sent.
+        let sent = self.fresh_report(now).map_or(0, |_| self.sent);
+        let load = self.load(now) + f64::from(sent) + 1.0;
+        let used = load / (self.capacity(now) * health);
+        let crowding = if used <= 1.0 { used.powi(6) } else { used };
+        self.slowness(median, now) * (1.0 + CROWDING * crowding) / health
+    }
+
+    /// Whether it can run one more call at once.
+    pub(super) fn has_room(&self, now: Instant) -> bool {
+        self.load(now) + 1.0 <= self.capacity(now)
     }
 
-    fn fresh_service_time(&self, now: Instant) -> Option<(ServiceTime, Instant)> {
+    fn fresh_service_time(&self, now: Instant) -> Option<(RelativeTime, Instant)> {
         let is_fresh = |at: Instant| now < at + SERVICE_TIME_TTL;
         self.service_time.filter(|(_, at)| is_fresh(*at))
     }
@@ -225,11 +263,15 @@
     /// Drops all reports, which are stale after this process was paused.
     pub(super) fn forget(&mut self) {
         self.report = None;
-        self.service_time = None;
+        self.forget_service_time();
         self.leaving_at = None;
         self.listing = Listing::Unknown;
     }
 
+    pub(super) fn forget_service_time(&mut self) {
+        self.service_time = None;
+    }
+
     /// Whether the upstream or the instance list has announced that it is leaving.
     pub(super) fn is_leaving(&self, now: Instant) -> bool {
         let announced = self.leaving_at.is_some_and(|at| now < at + LEAVING_TTL);
@@ -398,3 +440,8 @@
         (self.ejected_until, self.ramp_start) = (Some(until), Some(until));
     }
 }
+
+/// A factor, within the range that a report may claim.
+fn bounded(factor: f64) -> f64 {
+    factor.clamp(1.0 / SERVICE_TIME_FACTOR_MAX, SERVICE_TIME_FACTOR_MAX)
+}
--- a/src/state/upstream/service_time.rs
+++ b/src/state/upstream/service_time.rs
@@ -4,11 +4,6 @@
 
 use super::super::{Error, Result};
 
-/// Number of calls over which the usual time is averaged.
-const SAMPLES: f64 = 64.0;
-/// Number of calls from which the average is reported; fewer say more about the calls than about the
-/// server.
-const SAMPLES_MIN: f64 = 8.0;
 /// Range of the pace that is accepted from a server. Other workloads slow a machine down by a few
 /// times; a value outside is taken for the nearest one inside.
 const PACE_PERCENT: std::ops::RangeInclusive<u32> = 25..=1_000;
@@ -63,7 +58,7 @@
     }
 }
 
-/// Time that a call takes at a backend server. Its text form is `usual_us/pace`.
+/// Time that a call of one class takes at a backend server. Its text form is `usual_us/pace`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServiceTime {
     /// Mean time of a call at the usual pace of the machine.
@@ -101,63 +96,3 @@
         })
     }
 }
-
-/// Measures the time that calls take at a backend server which reports the pace of its machine.
-///
-/// A call that took long on a slow machine says nothing about the server: times are divided by the
-/// pace that the server reports with the answer, so that the average follows the server alone.
-///
-/// ```
-/// use comfreybay::state::upstream::{Pace, ServiceTimeMeter};
-/// use std::time::Duration;
-/// let mut meter = ServiceTimeMeter::default();
-/// for _ in 0..20 {
-///     meter.record_pace(Pace::new(250));
-///     meter.record(Duration::from_millis(250));
-/// }
-/// let time = meter.report().expect("enough calls");
-/// assert_eq!((time.usual.as_millis(), time.pace), (100, Pace::new(250)));
-/// ```
-#[derive(Debug, Default)]
-pub struct ServiceTimeMeter {
-    usual_s: f64,
-    samples: f64,
-    /// `None` while the server has reported none; nothing is measured then.
-    pace: Option<Pace>,
-}
-
-impl ServiceTimeMeter {
-    /// Records the pace that the server has reported with an answer.
-    pub fn record_pace(&mut self, pace: Pace) {
-        self.pace = Some(pace);
-    }
-
-    /// The last pace that the server has reported.
-    pub fn pace(&self) -> Option<Pace> {
-        self.pace
-    }
-
-    /// Records the time of a call that was answered, after the pace that its answer reported.
-    pub fn record(&mut self, time: Duration) {
-        let Some(pace) = self.pace else {
-            return;
-        };
-        self.samples = (self.samples + 1.0).min(SAMPLES);
-        let usual_s = time.as_secs_f64() / pace.factor();
-        self.usual_s += (usual_s - self.usual_s) / self.samples;
-    }
-
-    /// The time to report to other nodes; `None` if too few calls were measured.
-    pub fn report(&self) -> Option<ServiceTime> {
-        let pace = self.pace.filter(|_| self.samples >= SAMPLES_MIN)?;
-        Some(ServiceTime {
-            usual: Duration::from_secs_f64(self.usual_s),
-            pace,
-        })
-    }
-
-    /// Starts again, because another server runs at the address.
-    pub fn reset(&mut self) {
-        *self = Self::default();
-    }
-}
--- a/src/state/upstream/table.rs
+++ b/src/state/upstream/table.rs
@@ -11,7 +11,8 @@
         priority::{Level, Priority},
         rate::RateLimit,
     },
-    AttemptEnd, ListEntry, ListedState, Load, ServiceTime, UpstreamStatus,
+    AttemptEnd, ListEntry, ListedState, Load, UpstreamStatus,
+    class_times::ClassTimes,
     entry::{Entry, Listing},
     subset::{SUBSET_THRESHOLD, subset},
 };
@@ -46,9 +47,10 @@
     compared_at: Option<Instant>,
     /// Lowest latency in seconds at the last comparison.
     best_latency: f64,
-    /// Median of the reported service times in seconds at the last comparison; `None` while too few
-    /// upstreams report one.
-    median_time: Option<f64>,
+    class_times: ClassTimes,
+    /// Median of the factors by which calls take longer than usual at the upstreams, at the last
+    /// comparison; `None` while too few upstreams report their service times.
+    median_factor: Option<f64>,
     /// Whether calls spilled over to other zones at the last comparison.
     is_spilling: bool,
     examined: u64,
@@ -66,7 +68,8 @@
             distrusted_until: None,
             compared_at: None,
             best_latency: f64::INFINITY,
-            median_time: None,
+            class_times: ClassTimes::default(),
+            median_factor: None,
             is_spilling: false,
             examined: 0,
         }
@@ -180,13 +183,6 @@
         }
     }
 
-    /// Records the service time that an upstream reported.
-    pub fn update_service_time(&mut self, name: &UpstreamName, time: ServiceTime, now: Instant) {
-        if let Some(entry) = self.get_mut(name) {
-            entry.update_service_time(time, now);
-        }
-    }
-
     /// Records whether an upstream has announced that it is leaving.
     pub fn set_leaving(&mut self, name: &UpstreamName, leaving: bool, now: Instant) {
         if let Some(entry) = self.get_mut(name) {
@@ -354,11 +350,11 @@
             .iter()
             .filter_map(|index| self.entries[*index].latency());
         self.best_latency = latencies.fold(f64::INFINITY, f64::min);
-        self.median_time = self.median_service_time(now);
+        self.median_factor = self.reported_median(now);
         let load = |zone: &[usize]| {
             let entries = || zone.iter().map(|index| &self.entries[*index]);
             // Calls in flight already reflect the speed of a server.
-            let weight = |e: &Entry| match self.median_time {
+            let weight = |e: &Entry| match self.median_factor {
                 Some(_) => e.weight(f64::INFINITY, now),
                 None => e.weight(self.best_latency, now),
             };
@@ -370,25 +366,6 @@
         self.is_spilling = local > others + SPILL_MARGIN;
     }
 
-    /// Median of the reported service times in seconds, if at least half of the active upstreams have
-    /// reported one. A single false report hardly changes it.
-    fn median_service_time(&self, now: Instant) -> Option<f64> {
-        let mut times = [0.0; SUBSET_THRESHOLD];
-        let mut count = 0;
-        for index in &self.active {
-            if let Some(time) = self.entries[*index].usual_time(now) {
-                times[count] = time;
-                count += 1;
-            }
-        }
-        let times = &mut times[..count];
-        if times.is_empty() || count * 2 < self.active.len() {
-            return None;
-        }
-        let (_, median, _) = times.select_nth_unstable_by(count / 2, f64::total_cmp);
-        Some(*median)
-    }
-
     /// Updates which upstreams are removed from service.
     fn review_removals(&mut self, now: Instant) {
         self.reviewed_at = Some(now);
@@ -469,3 +446,4 @@
 mod choice;
 #[cfg(test)]
 mod tests;
+mod times;
--- a/src/state/upstream/table/choice.rs
+++ b/src/state/upstream/table/choice.rs
@@ -4,8 +4,8 @@
 
 use super::UpstreamTable;
 
-/// One call in so many goes to a random candidate. It brings a new report of an upstream that old or
-/// false reports keep calls away from.
+/// One call in so many goes to a random candidate if that one counts as slow and has room. It brings a
+/// new report of an upstream that an old or false report keeps calls away from.
 const PROBE_INTERVAL: u32 = 16;
 
 impl UpstreamTable {
@@ -26,8 +26,10 @@
         let is_limited = |index: &usize| self.entries[*index].rate_limit.is_some();
         if !candidates.iter().any(is_limited) {
             let first = rng.usize(..candidates.len());
-            let is_probe = self.median_time.is_some() && rng.u32(..PROBE_INTERVAL) == 0;
-            if is_probe {
+            if let Some(median) = self.median_factor
+                && rng.u32(..PROBE_INTERVAL) == 0
+                && self.needs_probe(candidates[first], median, now)
+            {
                 return candidates[first];
             }
             let second = (first + rng.usize(1..candidates.len())) % candidates.len();
@@ -35,13 +37,18 @@
         }
         let first = self.draw(candidates, None, rng, now);
         let entry = &self.entries[first];
-        if entry.load(now) + 1.0 <= entry.capacity(now) {
+        if entry.has_room(now) {
             return first;
         }
         let second = self.draw(candidates, Some(first), rng, now);
         self.less_loaded(first, second, now)
     }
 
+    fn needs_probe(&self, index: usize, median: f64, now: Instant) -> bool {
+        let entry = &self.entries[index];
+        entry.slowness(median, now) > 1.0 && entry.has_room(now)
+    }
+
     /// Draws a candidate in proportion to its capacity.
     fn draw(
         &self,
@@ -73,7 +80,7 @@
     /// the load of an upstream relative to its weight, with this call included.
     fn score(&self, index: usize, now: Instant) -> f64 {
         let entry = &self.entries[index];
-        match self.median_time {
+        match self.median_factor {
             Some(median) => entry.expected_delay(median, now),
             None => (entry.load(now) + 1.0) / entry.weight(self.best_latency, now),
         }
--- a/src/transport/mesh/announce.rs
+++ b/src/transport/mesh/announce.rs
@@ -1,6 +1,6 @@
 //! What a backend server announces about itself in its answers.
 
-use std::str::FromStr;
+use std::{str::FromStr, time::Duration};
 
 use http::{HeaderMap, HeaderName};
 use tokio::time::Instant;
@@ -12,7 +12,7 @@
     },
     state::{
         counters::Counter,
-        id::UpstreamName,
+        id::{ClassName, UpstreamName},
         mesh::backend::InstanceId,
         rate::RateLimit,
         upstream::{Pace, ServiceTime},
@@ -21,12 +21,16 @@
 
 use super::{super::net::Net, shared::Mesh};
 
+/// Share of the concurrency limit from which a server is nearly full. Servers slow down from 95% of
+/// their slots on.
+const CROWDED_SHARE: f64 = 0.9;
+
 impl<N: Net, D> Mesh<N, D> {
     /// Records what the backend server beside this node announces in an answer to a request that was
     /// sent to `instance` at `sent`.
     pub fn record_announcements(&self, instance: &InstanceId, headers: &HeaderMap, sent: Instant) {
         self.record_rate_limit(headers, sent);
-        self.record_pace(headers);
+        self.record_load(headers);
         if !headers.contains_key(&self.names.leaving) {
             return;
         }
@@ -81,35 +85,74 @@
         }
     }
 
-    /// Records the pace of the machine, the fourth figure of the server's load. The load has it only
-    /// on some platforms.
-    fn record_pace(&self, headers: &HeaderMap) {
+    /// Records that the server reports its load, and the pace of its machine, the fourth figure of the
+    /// load, which only some platforms have.
+    fn record_load(&self, headers: &HeaderMap) {
         let load = headers.get(&self.names.load).and_then(|v| v.to_str().ok());
-        let Some(text) = load.and_then(|text| text.split(',').nth(3)) else {
-            return;
-        };
-        let Ok(pace) = text.parse::<Pace>() else {
-            self.counters.add(Counter::ServerMalformed, 1);
+        let mut figures = load.unwrap_or_default().split(',').skip(2);
+        if figures.next().is_none() {
             return;
+        }
+        let pace = match figures.next().map(str::parse::<Pace>).transpose() {
+            Ok(pace) => pace,
+            Err(_) => {
+                self.counters.add(Counter::ServerMalformed, 1);
+                return;
+            }
         };
-        self.service_times.borrow_mut().record_pace(pace);
-        if pace.is_slow() {
+        if self.selects_by_delay.get() {
+            self.service_times.borrow_mut().record_load(pace);
+        }
+        if pace.is_some_and(Pace::is_slow) {
             self.gate.record_slow_machine();
         }
     }
 
-    /// Writes the service time of the backend server beside this node for the node of a caller.
-    pub fn write_service_time(&self, headers: &mut HeaderMap) {
-        if let Some(time) = self.service_times.borrow().report() {
+    /// Records the time of a call of a class at the backend server beside this node. `was_crowded`:
+    /// whether the server was nearly full when the call began.
+    pub fn record_service_time(&self, class: &ClassName, time: Duration, was_crowded: bool) {
+        let is_crowded = was_crowded || self.is_crowded();
+        let mut meter = self.service_times.borrow_mut();
+        meter.record(class, time, is_crowded, Instant::now());
+    }
+
+    /// Whether the backend server beside this node is nearly full.
+    pub fn is_crowded(&self) -> bool {
+        let load = self.gate.load();
+        f64::from(load.in_flight) >= f64::from(load.limit) * CROWDED_SHARE
+    }
+
+    /// Writes the service time of the backend server beside this node for the node of a caller, which
+    /// made a call of this class.
+    pub fn write_service_time(&self, class: Option<&ClassName>, headers: &mut HeaderMap) {
+        let time = class.and_then(|class| self.service_times.borrow().report(class));
+        if let Some(time) = time {
             write(headers, header::SERVICE_TIME, &time);
         }
     }
 
-    /// Reads the service time that the node of another backend server reports.
-    pub fn read_service_time(&self, upstream: &UpstreamName, headers: &HeaderMap) {
+    /// Reads the service time that the node of another backend server reports for a class.
+    pub fn read_service_time(
+        &self,
+        upstream: &UpstreamName,
+        class: &ClassName,
+        headers: &HeaderMap,
+    ) {
+        if !self.selects_by_delay.get() {
+            return;
+        }
         let time: Option<ServiceTime> = call::read(headers, header::SERVICE_TIME).ok().flatten();
         if let Some(time) = time {
-            self.router.update_service_time(upstream, time);
+            self.router.update_service_time(upstream, class, time);
+        }
+    }
+
+    /// Switches the choice by expected delay on or off. Off, service times are neither measured nor
+    /// reported nor read.
+    pub fn set_select_by_delay(&self, is_on: bool) {
+        if self.selects_by_delay.replace(is_on) && !is_on {
+            self.service_times.borrow_mut().reset();
+            self.router.forget_service_times();
         }
     }
 
--- a/src/transport/mesh/attempt.rs
+++ b/src/transport/mesh/attempt.rs
@@ -279,11 +279,11 @@
         let reply = serve(mesh, context, &instance).await;
         let levels = mesh.levels(Some(&context.class));
         mesh.record_levels(&context.class, parent, &mesh.settings.service, &levels);
-        if let Some(time) = mesh.service_times.borrow().report() {
+        if let Some(time) = mesh.service_times.borrow().report(&context.class) {
             let name = &pick.upstream().name;
             let (load, level) = (mesh.gate.load(), mesh.gate.level());
             mesh.router.update_load(name, load, level);
-            mesh.router.update_service_time(name, time);
+            mesh.router.update_service_time(name, &context.class, time);
         }
         let ended = reply.attempt_end();
         pick.finish(ended);
@@ -411,7 +411,7 @@
     if let Some(load) = load {
         mesh.router.update_load(name, load, level);
     }
-    mesh.read_service_time(name, headers);
+    mesh.read_service_time(name, class, headers);
     let retiring = headers.contains_key(header::RETIRING);
     mesh.router.set_retiring(name, retiring);
 }
--- a/src/transport/mesh/inbound.rs
+++ b/src/transport/mesh/inbound.rs
@@ -129,7 +129,7 @@
             mark_unique(headers, name);
         }
         write_unique(headers, header::LOAD, &self.0.gate.load());
-        self.0.write_service_time(headers);
+        self.0.write_service_time(class, headers);
         write(headers, header::LEVELS, &self.0.levels(class));
         self.0.write_progress(headers);
         if self.0.retiring.get() {
--- a/src/transport/mesh/mod.rs
+++ b/src/transport/mesh/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod auth;
 mod context;
+mod cooldown;
 mod follow;
 mod inbound;
 mod intake;
--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -144,7 +144,7 @@
 ) -> Exchange {
     let request = server_request(mesh, context, instance);
     mesh.counters.add(Counter::ServerCalls, 1);
-    let sent = Instant::now();
+    let (sent, was_crowded) = (Instant::now(), mesh.is_crowded());
     let sending = async {
         let response = lease.send(request).await;
         (response, lease)
@@ -160,6 +160,7 @@
         permit,
         running,
         sent,
+        was_crowded,
     };
     match response {
         Ok(response) => ended(pending.read_response(lease, response).await),
@@ -261,6 +262,8 @@
     permit: Permit,
     running: Rc<RunningRequest>,
     sent: Instant,
+    /// Whether the server was nearly full when the request was sent.
+    was_crowded: bool,
 }
 
 impl<N: Net, D> PendingResponse<'_, N, D> {
@@ -290,7 +293,8 @@
         self.mesh.latency.record_server_time(own);
         let not_run = self.is_not_run(&head);
         if !not_run {
-            self.mesh.service_times.borrow_mut().record(own);
+            let class = &self.context.class;
+            self.mesh.record_service_time(class, own, self.was_crowded);
         }
         let is_last = head.headers.get(CONNECTION).is_some_and(|v| v == "close");
         let body = match buffered {
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -73,8 +73,6 @@
 const LEAF_SLACK_SHARE: f64 = 0.4;
 /// Time that a node takes to start anew.
 const RESTART_MS: u64 = 500;
-/// Time for which a node that is leaving, or whose backend server is down, gets no requests.
-const COOLDOWN_MS: u64 = 500;
 
 /// The state of one node, shared by its tasks.
 pub struct Mesh<N: Net, D> {
@@ -158,9 +156,11 @@
     pub call_levels: RefCell<DownstreamLevels>,
     /// Time that calls take at the backend server.
     pub service_times: RefCell<ServiceTimeMeter>,
+    /// Whether servers are chosen by expected delay where they report their load.
+    pub selects_by_delay: Cell<bool>,
     splits: RefCell<BTreeMap<ClassName, WeightedRoundRobin>>,
     retry_windows: RefCell<BTreeMap<ServiceName, RetryWindow>>,
-    cooldowns: RefCell<BTreeMap<UpstreamName, Instant>>,
+    pub(super) cooldowns: RefCell<BTreeMap<UpstreamName, Instant>>,
     own_id: RefCell<Option<InstanceId>>,
 }
 
@@ -211,6 +211,7 @@
             local_levels: RefCell::default(),
             call_levels: RefCell::default(),
             service_times: RefCell::default(),
+            selects_by_delay: Cell::new(settings.select_by_delay),
             splits: RefCell::default(),
             retry_windows: RefCell::default(),
             cooldowns: RefCell::default(),
@@ -242,6 +243,7 @@
     pub fn reload(&self, settings: &Settings) -> Result<(), InvalidSettings> {
         self.settings.check_reload(settings)?;
         self.bounds.set(settings.bounds);
+        self.set_select_by_delay(settings.select_by_delay);
         let mut registry = self.registry.borrow_mut();
         registry.set_delay(removal_delay(&settings.bounds));
         if self.store.replace(settings.store) != settings.store {
@@ -478,22 +480,6 @@
         let mut services = local_levels.services(class).peekable();
         services.peek().is_some() && services.all(|s| s == service)
     }
-
-    /// Excludes a backend server from selection for a short time, because its node is leaving or
-    /// the server is down.
-    pub fn start_cooldown(&self, name: &UpstreamName) {
-        let until = Instant::now() + Duration::from_millis(COOLDOWN_MS);
-        self.router.set_leaving(name, true);
-        self.cooldowns.borrow_mut().insert(name.clone(), until);
-    }
-
-    /// Makes servers selectable again whose cooldown has ended.
-    pub fn end_cooldowns(&self, now: Instant) {
-        let mut cooldowns = self.cooldowns.borrow_mut();
-        for (name, _) in cooldowns.extract_if(.., |_, until| *until <= now) {
-            self.router.set_leaving(&name, false);
-        }
-    }
 }
 
 fn removal_delay(bounds: &PlatformBounds) -> RemovalDelay {
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -215,6 +215,7 @@
                 quota: QuotaBounds::default(),
             },
             limits: ProcessLimits::default(),
+            select_by_delay: true,
         };
         let server = self.start_server(&name, at(SERVER));
         let (mesh, stop, task, node) = self.start_node(settings);
