--- a/src/state/upstream.rs
+++ b/src/state/upstream.rs
@@ -4,16 +4,19 @@
 
 use super::{Error, Result, id::UpstreamName};
 
+mod class_times;
 mod considered;
 mod entry;
+mod meter;
 mod row;
 mod service_time;
 mod subset;
 mod table;
 
 pub use considered::{Considered, Obstacle};
+pub use meter::ServiceTimeMeter;
 pub use row::{Standing, UpstreamStatus};
-pub use service_time::{Pace, ServiceTime, ServiceTimeMeter};
+pub use service_time::{Pace, ServiceTime};
 pub use subset::SUBSET_THRESHOLD;
 pub use table::UpstreamTable;
 
--- a/src/state/upstream/considered.rs
+++ b/src/state/upstream/considered.rs
@@ -53,7 +53,8 @@
     pub status: UpstreamStatus,
     /// The last reported load, also if it is too old to be used, and the time since the report.
     pub report: Option<(Load, Duration)>,
-    /// Expected delay of the call in seconds, if upstreams are compared by it.
+    /// Expected delay of the call as a multiple of the median service time, if upstreams are compared by
+    /// it.
     pub expected_delay: Option<f64>,
     /// Probability with which the call goes to it.
     pub chance: f64,
--- a/src/state/upstream/table/choice/shares.rs
+++ b/src/state/upstream/table/choice/shares.rs
@@ -21,18 +21,19 @@
         }
     }
 
-    /// Shares when two candidates are drawn evenly and compared.
+    /// Shares when two candidates are drawn evenly and compared, unless the first one is probed.
     fn compared_shares(&self, candidates: &[usize], now: Instant) -> Vec<f64> {
         let count = candidates.len();
         let scores = self.scores(candidates, now);
-        let is_probing = self.median_time.is_some();
-        let probe = match is_probing {
-            true => 1.0 / f64::from(PROBE_INTERVAL),
-            false => 0.0,
-        };
-        let pair = (1.0 - probe) / (count * (count - 1)) as f64;
-        let mut shares = vec![probe / count as f64; count];
+        let mut shares = vec![0.0; count];
         for first in 0..count {
+            let is_probed = |median| self.needs_probe(candidates[first], median, now);
+            let probe = match self.median_factor.is_some_and(is_probed) {
+                true => 1.0 / f64::from(PROBE_INTERVAL),
+                false => 0.0,
+            };
+            shares[first] += probe / count as f64;
+            let pair = (1.0 - probe) / (count * (count - 1)) as f64;
             for second in (0..count).filter(|second| *second != first) {
                 shares[better(&scores, first, second)] += pair;
             }
@@ -68,14 +69,14 @@
         scores.collect()
     }
 
-    /// Expected delay in seconds of a call to the upstream with this index, if upstreams are compared
-    /// by it.
+    /// Expected delay of a call to the upstream with this index, as a multiple of the median service
+    /// time, if upstreams are compared by it.
     pub(in crate::state::upstream::table) fn delay(
         &self,
         index: usize,
         now: Instant,
     ) -> Option<f64> {
-        self.median_time.map(|_| self.score(index, now))
+        self.median_factor.map(|_| self.score(index, now))
     }
 }
 
--- a/src/state/upstream/table/explain/tests.rs
+++ b/src/state/upstream/table/explain/tests.rs
@@ -74,7 +74,8 @@
             5 | 6 if has_times => {
                 let usual = Duration::from_millis(rng.u64(1..200));
                 let pace = Pace::new(rng.u32(50..300));
-                table.update_service_time(&name(n), ServiceTime { usual, pace }, at);
+                let class = "c".parse().expect("valid name");
+                table.update_service_time(&name(n), &class, ServiceTime { usual, pace }, at);
             }
             7 => {
                 let priority = Priority::middle(1);
