--- a/src/commands/explain/show.rs
+++ b/src/commands/explain/show.rs
@@ -112,7 +112,7 @@
         cell(candidate.load_age_ms.map(|ms| format!("{ms} ms"))),
         cell(candidate.level.map(shown)),
         cell(candidate.weight.map(|weight| format!("{weight:.1}"))),
-        cell(candidate.expected_delay_ms.map(|ms| format!("{ms:.1} ms"))),
+        cell(candidate.expected_delay.map(|delay| format!("{delay:.2}"))),
         percent(candidate.chance),
         cell(candidate.against.map(Obstacle::as_str)),
     ]
--- a/src/coordination/explain/tests.rs
+++ b/src/coordination/explain/tests.rs
@@ -106,18 +106,19 @@
         ("own server", none, "GET /own/", "own-0; own own-0 100.0%"),
         ("no server", none, "GET /none/", "503 no-backend; -; "),
         (
-            "expected delay, with one call in 16 to a random server",
+            "expected delay, with one call in 16 to a slow server that is drawn",
             |w| {
-                for (n, ms) in [("a-0", 10), ("a-1", 20), ("a-2", 30)] {
+                for (n, ms) in [("a-0", 10), ("a-1", 20), ("a-2", 90)] {
                     let time = ServiceTime {
                         usual: Duration::from_millis(ms),
                         pace: Pace::new(100),
                     };
-                    w.router.update_service_time(&server(n), time);
+                    let class = "c".parse().expect("valid name");
+                    w.router.update_service_time(&server(n), &class, time);
                 }
             },
             "GET /one/",
-            "a-0; a-0 64.6%, a-1 33.3%, a-2 2.1%",
+            "a-0; a-0 65.6%, a-1 32.3%, a-2 2.1%",
         ),
         (
             "announced as leaving",
--- a/src/protocol/explain/tests.rs
+++ b/src/protocol/explain/tests.rs
@@ -64,7 +64,7 @@
         load: Some("4294967295/4294967295/4294967295".to_owned()),
         load_age_ms: Some(u64::MAX),
         level: Some(Level::OPEN),
-        expected_delay_ms: Some(f64::MAX),
+        expected_delay: Some(f64::MAX),
         weight: Some(f64::MAX),
         chance: 0.1234,
         against: Some(Obstacle::OutsideSubset),
--- a/src/state/mesh/explain.rs
+++ b/src/state/mesh/explain.rs
@@ -323,8 +323,9 @@
     pub load_age_ms: Option<u64>,
     /// Last reported admission level, relaxed when the report is stale.
     pub level: Option<Level>,
-    /// Expected delay, if the servers of the service are compared by it.
-    pub expected_delay_ms: Option<f64>,
+    /// Expected delay as a multiple of the median service time, if the servers of the service are
+    /// compared by it.
+    pub expected_delay: Option<f64>,
     /// Share of the calls that it should get, in slots; `None` if it gets none.
     pub weight: Option<f64>,
     /// Probability with which the request goes to it.
