--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 mod gone;
 mod http;
 mod memory;
+mod stale;
 mod store;
 mod upstream;
 mod world;
@@ -15,6 +16,7 @@
     match (args.next().as_deref(), args.next()) {
         (Some("cut"), Some(record)) => cut::run(record.as_ref()),
         (Some("memory"), Some(record)) => memory::run(record.as_ref()),
+        (Some("stale"), Some(record)) => stale::run(record.as_ref()),
         (Some("gone"), Some(record)) => gone::run(record.as_ref()),
         _ => {
             eprintln!("usage: review-standin-2 CASE RECORD");
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io::Write,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex, PoisonError},
+    sync::{
+        Arc, Condvar, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -24,6 +27,15 @@
     events: Vec<Event>,
 }
 
+/// One address of the store.
+#[derive(Default)]
+pub struct Entrance {
+    /// Whether the store answers nothing here.
+    pub is_silent: AtomicBool,
+    /// Number of calls.
+    pub calls: AtomicU32,
+}
+
 /// The store; clones share its content.
 #[derive(Clone, Default)]
 pub struct Store {
@@ -50,28 +62,37 @@
     }
 
     /// Serves the store at an address until the process ends.
-    pub fn serve(&self, at: SocketAddr) {
+    pub fn serve(&self, at: SocketAddr) -> Arc<Entrance> {
         let listener = TcpListener::bind(at).expect("the address of the store is free");
-        let store = self.clone();
+        let (store, entrance) = (self.clone(), Arc::new(Entrance::default()));
+        let own = entrance.clone();
         thread::spawn(move || {
             for conn in listener.incoming().flatten() {
-                let store = store.clone();
-                thread::spawn(move || store.serve_conn(conn));
+                let (store, entrance) = (store.clone(), own.clone());
+                thread::spawn(move || store.serve_conn(conn, &entrance));
             }
         });
+        entrance
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Content> {
         self.content.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn serve_conn(&self, mut conn: TcpStream) {
+    fn serve_conn(&self, mut conn: TcpStream, entrance: &Entrance) {
         let _ = conn.set_nodelay(true);
         let mut rest = Vec::new();
         while let Ok(Some(head)) = http::read_head(&mut conn, rest) {
             rest = head.rest;
             let target = head.line.split(' ').nth(1).unwrap_or_default().to_owned();
+            entrance.calls.fetch_add(1, Ordering::SeqCst);
             let (status, body) = self.answer(&target);
+            if entrance.is_silent.load(Ordering::SeqCst) {
+                // The connection stays open, and nothing comes on it any more.
+                loop {
+                    thread::park();
+                }
+            }
             let text = format!(
                 "HTTP/1.1 {status} Status\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
                 body.len()
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -1,16 +1,22 @@
 //! Addresses, settings and processes of one run.
 
 use std::{
+    collections::BTreeSet,
     env, fs,
     io::{self, Write},
     net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 
-use crate::{http, store::Store, upstream::Upstream};
+use crate::{
+    http,
+    store::{Entrance, Store},
+    upstream::Upstream,
+};
 
 pub const OUTBOUND: u16 = 8_304;
 pub const INBOUND: u16 = 8_300;
@@ -213,6 +219,9 @@
 /// A small deployment of one service: upstreams with their nodes, and the platform's store.
 pub struct Deployment {
     addresses: Addresses,
+    pub store: Store,
+    /// The address of the store that each node has.
+    pub entrances: Vec<Arc<Entrance>>,
     pub upstreams: Vec<Upstream>,
     pub nodes: Vec<Node>,
     _folder: Folder,
@@ -220,31 +229,39 @@
 
 /// Slots of each upstream of a deployment.
 const SLOTS: u32 = 76;
-/// Number of the address of the store.
-const STORE_NUMBER: u8 = 200;
+/// The address of the store for a node has the number of the node and this one.
+const STORE_NUMBERS: u8 = 200;
 
 impl Deployment {
-    /// Starts a deployment with one idempotent route, and waits until all nodes are ready.
+    /// Starts a deployment of one service and zone, and waits until all nodes are ready.
     pub fn start(service: &str, count: u8, memory_mb: u32) -> Self {
+        let machines = vec![(service, "leith"); count.into()];
+        Self::start_all(&machines, memory_mb)
+    }
+
+    /// Starts a deployment with a machine for each service and zone, and one idempotent route to the
+    /// first service; waits until all nodes are ready.
+    pub fn start_all(machines: &[(&str, &str)], memory_mb: u32) -> Self {
         let (addresses, folder, store) = (Addresses::new(), Folder::new(), Store::default());
-        let store_at = addresses.at(STORE_NUMBER, STORE);
-        store.serve(store_at);
-        let routes = [route("read", "idempotent", service, 5.0, 2)];
-        store.put("op/config", Some(&config(3, &routes, &[service])));
-        let (mut upstreams, mut nodes) = (Vec::new(), Vec::new());
-        for number in 1..=count {
+        let services: BTreeSet<_> = machines.iter().map(|(service, _)| *service).collect();
+        let services: Vec<_> = services.into_iter().collect();
+        let routes = [route("read", "idempotent", machines[0].0, 5.0, 2)];
+        store.put("op/config", Some(&config(3, &routes, &services)));
+        let (mut upstreams, mut nodes, mut entrances) = (Vec::new(), Vec::new(), Vec::new());
+        for (number, (service, zone)) in (1..).zip(machines) {
+            let store_at = addresses.at(number + STORE_NUMBERS, STORE);
+            entrances.push(store.serve(store_at));
             let upstream = Upstream::new(&format!("i-{number}"), SLOTS);
             let server = addresses.at(number, SERVER);
             upstream.serve(server);
-            let zone = "leith".to_owned();
-            let text = entry(server, service, &zone, SLOTS, 1_700_000_000_000);
+            let text = entry(server, service, zone, SLOTS, 1_700_000_000_000);
             store.put(&format!("servers/{}", upstream.id), Some(&text));
             let settings = Settings {
                 number,
                 server,
                 store: store_at,
-                service: service.to_owned(),
-                zone,
+                service: (*service).to_owned(),
+                zone: (*zone).to_owned(),
                 memory_mb,
             };
             nodes.push(Node::start(&settings, &addresses, &folder.0));
@@ -252,12 +269,14 @@
         }
         let deployment = Self {
             addresses,
+            store,
+            entrances,
             upstreams,
             nodes,
             _folder: folder,
         };
         let is_ready = |number| wait_for(Duration::from_secs(20), || deployment.is_ready(number));
-        if !(1..=count).all(is_ready) {
+        if !(1..).take(machines.len()).all(is_ready) {
             eprintln!("a node is not ready in time");
             process::exit(2);
         }
