--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod memory;
 mod stale;
 mod store;
+mod stray;
 mod upstream;
 mod world;
 
@@ -17,6 +18,7 @@
         (Some("cut"), Some(record)) => cut::run(record.as_ref()),
         (Some("memory"), Some(record)) => memory::run(record.as_ref()),
         (Some("stale"), Some(record)) => stale::run(record.as_ref()),
+        (Some("stray"), Some(record)) => stray::run(record.as_ref()),
         (Some("gone"), Some(record)) => gone::run(record.as_ref()),
         _ => {
             eprintln!("usage: review-standin-2 CASE RECORD");
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -297,6 +297,11 @@
         check().unwrap_or(false)
     }
 
+    /// Address of an upstream.
+    pub fn server(&self, number: u8) -> SocketAddr {
+        self.addresses.at(number, SERVER)
+    }
+
     /// Address for the clients on the machine of a node.
     pub fn outbound(&self, number: u8) -> SocketAddr {
         self.addresses.at(number, OUTBOUND)
