--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod memory;
 mod stale;
+mod stops;
 mod store;
 mod stray;
 mod upstream;
@@ -18,6 +19,7 @@
         (Some("cut"), Some(record)) => cut::run(record.as_ref()),
         (Some("memory"), Some(record)) => memory::run(record.as_ref()),
         (Some("stale"), Some(record)) => stale::run(record.as_ref()),
+        (Some("stops"), Some(record)) => stops::run(record.as_ref()),
         (Some("stray"), Some(record)) => stray::run(record.as_ref()),
         (Some("gone"), Some(record)) => gone::run(record.as_ref()),
         _ => {
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -148,6 +148,12 @@
         matches!(child.try_wait(), Ok(Some(_)))
     }
 
+    /// Sends SIGTERM to the process.
+    pub fn stop(&self) {
+        let command = format!("kill -TERM {}", self.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(child) = &mut self.child {
