--- a/review/standin-2/src/stale.rs
+++ b/review/standin-2/src/stale.rs
@@ -40,7 +40,12 @@
 /// Machines of the first zone.
 const ZONE: usize = 5;
 /// Time for which the calls to the store are counted, to find the node that makes none.
-const COUNT: Duration = Duration::from_secs(12);
+const COUNT: Duration = Duration::from_secs(8);
+/// Calls in that time by a node that asks the store often. Two nodes of the fleet do; if both are among
+/// those that the store does not answer, they notice it and the others of the zone learn it from them.
+const FREQUENT: u32 = 8;
+/// Times that addresses are drawn, on which it depends which nodes these are.
+const DRAWS: usize = 3;
 /// Time within which a configuration has to be in effect (`config_s`).
 const BOUND: Duration = Duration::from_secs(2);
 /// The same while the core is not stable (`config_s` and `max_stretch_s`). The script judges by this
@@ -57,24 +62,23 @@
 }
 
 pub fn run(path: &Path) -> ExitCode {
-    let deployment = Deployment::start_all(&MACHINES, 260);
     let mut record = Record::new();
-    let calls = || -> Vec<u32> {
-        let entrances = deployment.entrances.iter().take(ZONE);
-        entrances.map(|e| e.calls.load(Ordering::SeqCst)).collect()
-    };
-    thread::sleep(Duration::from_secs(2));
-    let before = calls();
-    thread::sleep(COUNT);
-    let made: Vec<_> = calls()
-        .iter()
-        .zip(before)
-        .map(|(now, before)| now - before)
-        .collect();
-    record.now(&format!(
-        "calls to the store by the nodes of the zone: {made:?}"
-    ));
-    let Some(node) = made.iter().position(|made| *made == 0) else {
+    let mut found = None;
+    for _ in 0..DRAWS {
+        let deployment = Deployment::start_all(&MACHINES, 260);
+        let made = count_calls(&deployment);
+        record.now(&format!(
+            "calls to the store by the nodes of the zone: {made:?}"
+        ));
+        let follower = made.iter().position(|made| *made == 0);
+        let frequent = made.iter().filter(|made| **made >= FREQUENT).count();
+        found = follower.map(|node| (deployment, node));
+        if found.is_some() && frequent < 2 {
+            break;
+        }
+        record.now("other addresses are drawn");
+    }
+    let Some((deployment, node)) = found else {
         record.now("each node of the zone reads the store itself");
         record.write(path);
         return ExitCode::from(2);
@@ -150,6 +154,19 @@
     ExitCode::from(u8::from(outer > 0))
 }
 
+/// Calls to the store by the nodes of the first zone.
+fn count_calls(deployment: &Deployment) -> Vec<u32> {
+    let calls = || -> Vec<u32> {
+        let entrances = deployment.entrances.iter().take(ZONE);
+        entrances.map(|e| e.calls.load(Ordering::SeqCst)).collect()
+    };
+    thread::sleep(Duration::from_secs(2));
+    let before = calls();
+    thread::sleep(COUNT);
+    let pairs = calls().into_iter().zip(before);
+    pairs.map(|(now, before)| now - before).collect()
+}
+
 /// Sends a request each 100 ms on one connection.
 fn act(at: SocketAddr, client: u8, goes_on: &AtomicBool) -> Vec<Seen> {
     let mut all = Vec::new();
