Pipelining: the end of a caller's connection is seen behind bytes that stay unread

Cause: a connection is read up to 64 KiB behind the request in progress, heads of started requests included. The end of the connection is behind what is not read.

Change: while nothing is read for lack of room, the adapter waits for the end of the connection on a second descriptor of the socket. It takes an event that tokio reports without reading; the first descriptor wakes nobody while bytes are left. At most an eighth of the descriptors are used so.

--- a/src/state/counters.rs
+++ b/src/state/counters.rs
@@ -69,6 +69,8 @@
     CallsHeld "calls.held" "calls" Total "Calls held because the caller sent again before its time.",
     AheadStarted "ahead.started" "calls" Total "Calls started before those ahead of them on their connection were answered.",
     AheadHeld "ahead.held" "calls" Total "Calls behind another one on their connection that waited for their turn, because they may not be started ahead or a bound was reached.",
+    EndsSeen "ends.seen" "connections" Total "Connections of callers whose end was seen behind bytes that were not read for lack of room.",
+    EndsUnwatched "ends.unwatched" "events" Total "Times that the end of such a connection could not be waited for, because too many were.",
     AheadGivenUp "ahead.given-up" "calls" Total "Calls started ahead that were answered as failed, because there was no room for their long answer to wait.",
     AnswersBroken "answers.broken" "answers" Total "Answers of a server that ended before their end.",
 
--- a/src/state/memory.rs
+++ b/src/state/memory.rs
@@ -34,9 +34,13 @@
 /// for connections to the own server and to other nodes.
 const CALLERS_SHARE: f64 = 0.5;
 const PEERS_SHARE: f64 = 0.2;
+/// The same for waiting for the ends of callers' connections whose bytes are not read for now, a
+/// descriptor each.
+const ENDS_SHARE: f64 = 0.125;
 /// Connections of callers and of other nodes without limits of the process.
 const DEFAULT_CALLERS: usize = 2_048;
 const DEFAULT_PEERS: usize = 1_024;
+const DEFAULT_ENDS: usize = 256;
 
 /// Time in which a body must bring at least [`BODY_WINDOW_BYTES`].
 pub const BODY_WINDOW: Duration = Duration::from_secs(5);
@@ -104,6 +108,11 @@
         MemorySize((left as f64 * CHARGED_SHARE) as usize)
     }
 
+    /// Largest number of connections whose end is waited for while their bytes are not read.
+    pub fn ends(&self) -> usize {
+        self.by_descriptors(ENDS_SHARE, DEFAULT_ENDS)
+    }
+
     /// Largest number of connections of callers.
     pub fn callers(&self) -> usize {
         self.connections(CALLERS_SHARE, DEFAULT_CALLERS)
@@ -114,11 +123,15 @@
         self.connections(PEERS_SHARE, DEFAULT_PEERS)
     }
 
-    fn connections(&self, share: f64, default: usize) -> usize {
-        let by_descriptors = self.descriptors.map_or(default, |all| {
+    fn by_descriptors(&self, share: f64, default: usize) -> usize {
+        self.descriptors.map_or(default, |all| {
             let left = all.saturating_sub(FILE_DESCRIPTORS + FIXED_DESCRIPTORS);
             (left as f64 * share) as usize
-        });
+        })
+    }
+
+    fn connections(&self, share: f64, default: usize) -> usize {
+        let by_descriptors = self.by_descriptors(share, default);
         let by_memory = self.memory.map_or(default, |_| {
             let share = CONNECTIONS_SHARE * share / (CALLERS_SHARE + PEERS_SHARE);
             (self.budget().0 as f64 * share) as usize / CONNECTION_BYTES
--- a/src/transport/connections.rs
+++ b/src/transport/connections.rs
@@ -16,6 +16,7 @@
     time::Instant,
 };
 
+use super::net::Conn;
 use crate::state::connections::Connection;
 
 /// A connection that reports what it has read and written.
@@ -87,6 +88,14 @@
     }
 }
 
+impl<C: Conn> Conn for Watched<C> {
+    type End = C::End;
+
+    fn end(&self) -> C::End {
+        self.conn.end()
+    }
+}
+
 /// A connection that several instances of the HTTP library use, one after the other.
 #[derive(Debug)]
 pub struct Reused<C>(Rc<RefCell<C>>);
--- a/src/transport/memory/conn.rs
+++ b/src/transport/memory/conn.rs
@@ -1,6 +1,7 @@
 use std::{
     cell::RefCell,
     collections::VecDeque,
+    future::Future,
     io,
     net::IpAddr,
     pin::Pin,
@@ -16,6 +17,7 @@
 };
 
 use super::{host::Process, network::Network};
+use crate::transport::net::Conn;
 
 /// Most unread bytes in one direction of a connection; a writer waits for room beyond this.
 const WINDOW_BYTES: usize = 256 * 1_024;
@@ -38,6 +40,12 @@
     content: Content,
 }
 
+impl Segment {
+    fn is_last(&self) -> bool {
+        !matches!(self.content, Content::Data(_))
+    }
+}
+
 /// One direction of a connection.
 pub(super) struct Pipe {
     from: IpAddr,
@@ -50,6 +58,8 @@
     /// Arrival time of the newest segment; later segments don't overtake it.
     last_due: Instant,
     reader: Option<Waker>,
+    /// Waits for the last segment.
+    end: Option<Waker>,
     writer: Option<Waker>,
     /// When the writer learns that the reader has closed the connection.
     reader_closed: Option<Instant>,
@@ -69,6 +79,7 @@
             buffered: 0,
             last_due: Instant::now(),
             reader: None,
+            end: None,
             writer: None,
             reader_closed: None,
             finished: false,
@@ -106,6 +117,7 @@
             front.due = next + latency;
         }
         wake(&mut self.reader);
+        wake(&mut self.end);
         wake(&mut self.writer);
     }
 
@@ -120,6 +132,7 @@
             content,
         });
         wake(&mut self.reader);
+        wake(&mut self.end);
     }
 }
 
@@ -212,6 +225,44 @@
     }
 }
 
+impl Conn for MemoryConn {
+    type End = MemoryEnd;
+
+    fn end(&self) -> MemoryEnd {
+        MemoryEnd {
+            network: self.network.clone(),
+            inbound: self.inbound.clone(),
+            timer: None,
+        }
+    }
+}
+
+/// Waits for the last segment of a connection to arrive.
+pub struct MemoryEnd {
+    network: Network,
+    inbound: Rc<RefCell<Pipe>>,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Future for MemoryEnd {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let inbound = self.inbound.clone();
+        let mut pipe = inbound.borrow_mut();
+        pipe.end = Some(cx.waker().clone());
+        if pipe.silent || self.network.blocked(pipe.from, pipe.to) {
+            return Poll::Pending;
+        }
+        let last = pipe.queue.back();
+        let Some(due) = last.filter(|s| s.is_last()).map(|s| s.due) else {
+            return Poll::Pending;
+        };
+        let timer = self.timer.insert(Box::pin(sleep_until(due)));
+        timer.as_mut().poll(cx)
+    }
+}
+
 impl AsyncWrite for MemoryConn {
     fn poll_write(
         self: Pin<&mut Self>,
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -204,7 +204,7 @@
             tick_due: Cell::new(Instant::now()),
             grace_end: Cell::new(None),
             local_requests: Rc::default(),
-            pipeline: Shared::new(counters.clone()),
+            pipeline: Shared::new(counters.clone(), settings.limits.ends()),
             counters,
             latency: Latency::default(),
             memory: MemoryBudget::new(settings.limits.budget()),
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -1,8 +1,12 @@
 //! Abstraction of the network: TCP or in memory.
 
-use std::{io, net::SocketAddr};
+use std::{
+    future::{Future, Pending},
+    io,
+    net::SocketAddr,
+};
 
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncWrite, DuplexStream};
 
 /// The network of one host, which opens connections from the address of that host.
 #[allow(
@@ -11,7 +15,7 @@
 )]
 pub trait Net: Clone + 'static {
     /// A connection.
-    type Conn: AsyncRead + AsyncWrite + Unpin + 'static;
+    type Conn: Conn;
     /// A bound listener.
     type Listener: Listener<Conn = Self::Conn> + 'static;
 
@@ -28,6 +32,24 @@
     async fn bind(&self, at: SocketAddr) -> io::Result<Self::Listener>;
 }
 
+/// A connection.
+pub trait Conn: AsyncRead + AsyncWrite + Unpin + 'static {
+    /// Completes when the remote end has closed or reset the connection.
+    type End: Future<Output = ()> + Unpin + 'static;
+
+    /// Waits for the end of the connection without reading the bytes before it. A connection whose
+    /// end can't be seen so does not complete it.
+    fn end(&self) -> Self::End;
+}
+
+impl Conn for DuplexStream {
+    type End = Pending<()>;
+
+    fn end(&self) -> Pending<()> {
+        std::future::pending()
+    }
+}
+
 /// A bound listener.
 #[allow(
     async_fn_in_trait,
@@ -35,7 +57,7 @@
 )]
 pub trait Listener {
     /// A connection.
-    type Conn;
+    type Conn: Conn;
 
     /// Waits for the next connection; returns it with the address of its remote end.
     ///
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -10,6 +10,7 @@
 
 pub mod answer;
 pub mod conn;
+pub mod end;
 pub mod head;
 pub mod queue;
 pub mod request_body;
@@ -32,9 +33,13 @@
 
 use crate::state::counters::{Counter, Counters};
 
-use super::server::{Handler, ReadLimits};
+use super::{
+    net::Conn,
+    server::{Handler, ReadLimits},
+};
 use answer::Answer;
 use conn::PipelineConn;
+use end::{EndSlots, EndWatch};
 use head::{Extent, HeadScan};
 use queue::{Next, Queue};
 use request_body::RequestBody;
@@ -80,15 +85,18 @@
     counters: Rc<Counters>,
     waiting: Rc<Cell<BytesHeld>>,
     stalled: Rc<Cell<usize>>,
+    ends: EndSlots,
 }
 
 impl Shared {
-    /// The state of a listener without connections.
-    pub fn new(counters: Rc<Counters>) -> Self {
+    /// The state of a listener without connections, of which the ends of `ends` may be waited for at
+    /// once.
+    pub fn new(counters: Rc<Counters>, ends: usize) -> Self {
         Self {
             counters,
             waiting: Rc::default(),
             stalled: Rc::default(),
+            ends: EndSlots::new(ends),
         }
     }
 }
@@ -140,7 +148,7 @@
     }
 
     /// The connection that the HTTP library gets.
-    pub fn adapt<C>(self: &Rc<Self>, conn: C) -> PipelineConn<C, H, F> {
+    pub fn adapt<C: Conn>(self: &Rc<Self>, conn: C) -> PipelineConn<C, H, F> {
         PipelineConn::new(conn, self.clone())
     }
 
@@ -351,6 +359,22 @@
         queue.as_ref().is_some_and(|queue| queue.is_full())
     }
 
+    /// Waits for the end of a connection that is not read for now.
+    fn watch_end<E>(&self, end: impl FnOnce() -> E) -> Option<EndWatch<E>> {
+        let shared = self.shared.as_ref()?;
+        let watch = shared.ends.watch(end);
+        if watch.is_none() {
+            shared.counters.add(Counter::EndsUnwatched, 1);
+        }
+        watch
+    }
+
+    fn count_end(&self) {
+        if let Some(shared) = &self.shared {
+            shared.counters.add(Counter::EndsSeen, 1);
+        }
+    }
+
     fn push_unread(&self, cx: &Context<'_>, bytes: &[u8]) {
         self.signal.set_waker(cx.waker());
         let mut queue = self.queue.borrow_mut();
--- a/src/transport/pipeline/conn.rs
+++ b/src/transport/pipeline/conn.rs
@@ -1,6 +1,7 @@
 //! Adapter between an accepted connection and the HTTP library.
 
 use std::{
+    future::Future,
     io::{self, IoSlice},
     pin::Pin,
     rc::Rc,
@@ -10,8 +11,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::{
-    super::server::Handler,
+    super::{net::Conn, server::Handler},
     Ahead, Mismatch, NextHead, Pipeline,
+    end::EndWatch,
     head::{Extent, HeadScan},
     request_body::RequestBody,
     signal::{Phase, Signal},
@@ -22,7 +24,7 @@
 ///
 /// The HTTP library reads during such a request only while its own buffer is empty, to notice that
 /// the caller has gone. Bytes that it reads then begin with a head.
-pub struct PipelineConn<C, H: Handler, F> {
+pub struct PipelineConn<C: Conn, H: Handler, F> {
     conn: C,
     pipeline: Rc<Pipeline<H, F>>,
     signal: Rc<Signal>,
@@ -31,9 +33,11 @@
     head_left: usize,
     /// What the HTTP library has not got of the body of the request in progress.
     body: RequestBody,
+    /// The end of the connection, while nothing is read for lack of room.
+    end: Option<EndWatch<C::End>>,
 }
 
-impl<C, H: Handler, F> PipelineConn<C, H, F> {
+impl<C: Conn, H: Handler, F> PipelineConn<C, H, F> {
     /// The adapter of `conn`.
     pub fn new(conn: C, pipeline: Rc<Pipeline<H, F>>) -> Self {
         let signal = pipeline.signal.clone();
@@ -49,13 +53,14 @@
             scan: HeadScan::default(),
             head_left: 0,
             body,
+            end: None,
         }
     }
 }
 
 impl<C, H, F> PipelineConn<C, H, F>
 where
-    C: AsyncRead + Unpin,
+    C: Conn,
     H: Handler,
     F: Ahead<H>,
 {
@@ -155,10 +160,12 @@
         polled
     }
 
-    /// Reads what the caller sends behind the request in progress; passes on only its end.
+    /// Reads what the caller sends behind the request in progress; passes on only its end. Where
+    /// there is no room to read further, the end may be behind bytes that stay unread.
     fn poll_behind(&mut self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let start = out.filled().len();
         while !self.pipeline.is_full() {
+            self.end = None;
             match Pin::new(&mut self.conn).poll_read(cx, out) {
                 Poll::Ready(Ok(())) if out.filled().len() > start => {
                     self.pipeline.push_unread(cx, &out.filled()[start..]);
@@ -167,13 +174,23 @@
                 polled => return polled,
             }
         }
-        Poll::Pending
+        if self.end.is_none() {
+            self.end = self.pipeline.watch_end(|| self.conn.end());
+        }
+        let Some(end) = &mut self.end else {
+            return Poll::Pending;
+        };
+        let polled = Pin::new(end).poll(cx);
+        if polled.is_ready() {
+            self.pipeline.count_end();
+        }
+        polled.map(Ok)
     }
 }
 
 impl<C, H, F> AsyncRead for PipelineConn<C, H, F>
 where
-    C: AsyncRead + Unpin,
+    C: Conn,
     H: Handler,
     F: Ahead<H>,
 {
@@ -198,6 +215,7 @@
 
 impl<C, H, F> PipelineConn<C, H, F>
 where
+    C: Conn,
     H: Handler,
 {
     fn note_write<T>(&self, polled: Poll<T>) -> Poll<T> {
@@ -208,7 +226,7 @@
 
 impl<C, H, F> AsyncWrite for PipelineConn<C, H, F>
 where
-    C: AsyncWrite + Unpin,
+    C: Conn,
     H: Handler,
 {
     fn poll_write(
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -27,7 +27,7 @@
 
 use super::{
     connections::{RequestGuard, Reused, Tracked, Watched},
-    net::Listener,
+    net::{Conn, Listener},
     pipeline::{Mismatch, Pipeline, Shared},
     tasks::Tasks,
 };
@@ -224,7 +224,6 @@
     shutdown: Shutdown,
 ) where
     L: Listener,
-    L::Conn: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin + 'static,
     H: Handler,
 {
     let tasks = Tasks::default();
@@ -279,7 +278,7 @@
     handler: Rc<H>,
     shutdown: Shutdown,
 ) where
-    C: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin + 'static,
+    C: Conn,
     H: Handler,
 {
     let streams = Tasks::default();
--- a/src/transport/tcp.rs
+++ b/src/transport/tcp.rs
@@ -1,13 +1,21 @@
 //! The TCP network of the operating system.
 
 use std::{
+    future::Future,
     io,
     net::{IpAddr, SocketAddr},
+    os::fd::AsFd,
+    pin::Pin,
+    task::{Context, Poll, ready},
 };
 
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use futures::FutureExt;
+use tokio::{
+    io::Interest,
+    net::{TcpListener, TcpSocket, TcpStream},
+};
 
-use super::net::{Listener, Net};
+use super::net::{Conn, Listener, Net};
 
 const BACKLOG: u32 = 1_024;
 /// Receive buffer of accepted connections. It bounds what a client can leave unread in the kernel,
@@ -60,6 +68,48 @@
     }
 }
 
+impl Conn for TcpStream {
+    type End = TcpEnd;
+
+    fn end(&self) -> TcpEnd {
+        let watched = || -> io::Result<_> {
+            let fd = self.as_fd().try_clone_to_owned()?;
+            TcpStream::from_std(fd.into())
+        };
+        let conn = watched().inspect_err(|error| {
+            log::debug!(error:%; "end of a connection can't be waited for");
+        });
+        TcpEnd(conn.ok())
+    }
+}
+
+/// Waits for the end of a connection on a descriptor of its own, from which nothing is read: the
+/// events of the connection's own descriptor wake nobody while bytes are left unread.
+#[derive(Debug)]
+pub struct TcpEnd(Option<TcpStream>);
+
+impl Future for TcpEnd {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(conn) = &self.0 else {
+            return Poll::Pending;
+        };
+        loop {
+            if ready!(conn.poll_read_ready(cx)).is_err() {
+                return Poll::Pending;
+            }
+            match conn.ready(Interest::READABLE).now_or_never() {
+                Some(Ok(ready)) if ready.is_read_closed() => return Poll::Ready(()),
+                _ => {}
+            }
+            // Waits for the next event instead of for the bytes that have arrived.
+            let _: io::Result<()> =
+                conn.try_io(Interest::READABLE, || Err(io::ErrorKind::WouldBlock.into()));
+        }
+    }
+}
+
 impl Listener for TcpListener {
     type Conn = TcpStream;
 
