Answers: an interim status is no answer

Seen by callers: a backend server's answer with status 101 is passed on to the caller, who has asked for no upgrade.

Cause: the HTTP library skips every interim status but 101, and the check of answers asks for a seal of successful ones only.

Change: an answer whose status is not final ends as failed, on the platform path and on that of the product's own interface.

Cost: one comparison an answer.

--- a/src/transport/mesh/server.rs
+++ b/src/transport/mesh/server.rs
@@ -278,7 +278,10 @@
         }
         let framing = server_framing(&self.context.request.method, &head);
         let Some(framing) = framing else {
-            return self.fail(lease, "the end of its body can't be detected");
+            return self.fail(
+                lease,
+                "its status is not final, or the end of its body can't be detected",
+            );
         };
         let reading = lease.drive(read_buffered(body, framing));
         let buffered = match timeout_at(self.context.deadline, reading).await {
--- a/src/transport/reply.rs
+++ b/src/transport/reply.rs
@@ -272,8 +272,12 @@
 }
 
 /// How the end of a backend server's response is detected; `None` if its head states this twice or in
-/// a way that is not supported.
+/// a way that is not supported, or its status is not final.
 pub fn server_framing(method: &Method, head: &response::Parts) -> Option<Framing> {
+    // 101 is the only interim status that the HTTP library passes on. Nobody has asked for an upgrade.
+    if head.status.is_informational() {
+        return None;
+    }
     if is_bodiless(method, head.status) {
         return Some(Framing::Empty);
     }
--- a/src/transport/serve.rs
+++ b/src/transport/serve.rs
@@ -283,7 +283,7 @@
             plane,
             open_call,
             lease,
-            "the end of its body can't be detected",
+            "its status is not final, or the end of its body can't be detected",
         );
     };
     let reading = lease.drive(read_buffered(body, framing));
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -73,6 +73,8 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nabc",
         "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabc",
+        "HTTP/1.1 000 OK\r\ncontent-length: 3\r\n\r\nabc",
+        "HTTP/1.1 101 Switching Protocols\r\ncontent-length: 3\r\n\r\nabc",
         "no answer at all",
         "",
     ];
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod mesh;
 pub mod raw;
 pub mod store;
+pub mod tcp;
 
 use std::{
     cell::RefCell,
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -121,7 +121,11 @@
 }
 
 pub async fn serve_store(net: MemoryNet, store: Rc<FakeStore>) {
-    let mut listener = net.bind(STORE).await.unwrap();
+    serve_store_at(net, STORE, store).await;
+}
+
+pub async fn serve_store_at<N: Net>(net: N, at: SocketAddr, store: Rc<FakeStore>) {
+    let mut listener = net.bind(at).await.unwrap();
     while let Ok((conn, from)) = listener.accept().await {
         let silent = Rc::new(std::cell::Cell::new(false));
         store.conns.borrow_mut().push((from.ip(), silent.clone()));
