--- a/tests/cut_readers.rs
+++ b/tests/cut_readers.rs
@@ -3,13 +3,13 @@
 
 mod support;
 
-use std::{collections::BTreeSet, net::IpAddr, time::Duration};
+use std::{collections::BTreeSet, time::Duration};
 
 use comfreybay::state::{counters::Counter, mesh::readers::Source};
 use support::{
+    changes::{address, publish, quiet_fleet, version},
     local,
-    mesh::{MeshFleet, route, sealed, table},
-    script,
+    mesh::MeshFleet,
 };
 use tokio::time::sleep;
 
@@ -23,29 +23,6 @@
 /// An answer that takes longer than the time after which a watch is renewed.
 const VERY_SLOW_ANSWER: Duration = Duration::from_millis(450);
 
-/// A fleet whose nodes have found each other, with version 1 of the routes in effect.
-async fn fleet(zones: u8, nodes: u8) -> MeshFleet {
-    let script = script(|seen| async move { sealed(&seen, "") });
-    let services = [("front", nodes / 2, 8), ("deep", nodes - nodes / 2, 8)];
-    let fleet = MeshFleet::start_in(zones, &services, script).await;
-    publish(&fleet, 1);
-    sleep(Duration::from_secs(10)).await;
-    fleet
-}
-
-fn publish(fleet: &MeshFleet, version: u64) {
-    fleet.put_routes(table(version, vec![route("a", "deep")]));
-}
-
-fn address(fleet: &MeshFleet, name: &str) -> IpAddr {
-    fleet.pairs[name].entry.address.ip()
-}
-
-fn version(fleet: &MeshFleet, name: &str) -> u64 {
-    let routes = fleet.pairs[name].mesh.routes.borrow();
-    routes.as_ref().map_or(0, |r| r.revision().0)
-}
-
 /// Sum of a counter over all nodes.
 fn count(fleet: &MeshFleet, counter: Counter) -> u64 {
     let nodes = fleet.pairs.values();
@@ -86,10 +63,10 @@
 
 /// Cuts off all readers of each zone in turn, in fleets of one size, and publishes two versions.
 async fn cut_off_each_zone(zones: u8, nodes: u8, after_ms: u64) {
-    let count = zones_with_followers(&fleet(zones, nodes).await).len();
+    let count = zones_with_followers(&quiet_fleet(zones, nodes).await).len();
     assert!(count > 0, "no zone of {nodes} nodes has a follower");
     for at in 0..count {
-        let fleet = fleet(zones, nodes).await;
+        let fleet = quiet_fleet(zones, nodes).await;
         let mut readers = zones_with_followers(&fleet).swap_remove(at);
         readers.retain(|name| !is_follower(&fleet, name));
         ignore(&fleet, &readers);
@@ -128,7 +105,7 @@
     for count in 1..=3 {
         for after_ms in [0, 2_500] {
             local(async move {
-                let fleet = fleet(2, 24).await;
+                let fleet = quiet_fleet(2, 24).await;
                 for names in zones_with_followers(&fleet) {
                     ignore(&fleet, &names[..count]);
                 }
@@ -146,7 +123,7 @@
 #[tokio::test(start_paused = true)]
 async fn whole_zone_that_is_cut_off_gets_changes_from_others() {
     local(async {
-        let fleet = fleet(3, 30).await;
+        let fleet = quiet_fleet(3, 30).await;
         ignore(&fleet, &zones_with_followers(&fleet)[0]);
         sleep(Duration::from_secs(3)).await;
         for version in [2, 3, 4] {
@@ -163,7 +140,7 @@
 async fn only_zone_whose_readers_are_cut_off_gets_changes() {
     for nodes in [6, 10, 40] {
         local(async move {
-            let fleet = fleet(1, nodes).await;
+            let fleet = quiet_fleet(1, nodes).await;
             let mut readers = zones_with_followers(&fleet).swap_remove(0);
             readers.retain(|name| !is_follower(&fleet, name));
             ignore(&fleet, &readers);
@@ -187,7 +164,7 @@
 async fn very_slow_store_after_a_silence_still_passes_changes_on() {
     for nodes in [5, 17] {
         local(async move {
-            let fleet = fleet(4, nodes).await;
+            let fleet = quiet_fleet(4, nodes).await;
             for name in fleet.pairs.keys() {
                 fleet.store.silence(address(&fleet, name));
             }
@@ -203,7 +180,7 @@
 #[tokio::test(start_paused = true)]
 async fn changes_are_announced_by_the_sentinels_only() {
     local(async {
-        let fleet = fleet(3, 30).await;
+        let fleet = quiet_fleet(3, 30).await;
         let before = count(&fleet, Counter::ConfigAnnounced);
         for version in 2..=6 {
             assert!(late_nodes(&fleet, version, BOUND).await.is_empty());
@@ -221,7 +198,7 @@
 async fn restore_of_a_slow_store_reaches_all_nodes() {
     for nodes in [5, 17] {
         local(async move {
-            let fleet = fleet(4, nodes).await;
+            let fleet = quiet_fleet(4, nodes).await;
             let kept = fleet.store.revision();
             publish(&fleet, 2);
             sleep(Duration::from_secs(3)).await;
--- a/tests/silent_parts.rs
+++ b/tests/silent_parts.rs
@@ -3,13 +3,13 @@
 
 mod support;
 
-use std::{collections::BTreeMap, net::IpAddr, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use comfreybay::state::mesh::readers::Source;
 use support::{
+    changes::{address, publish, quiet_fleet, version},
     local,
-    mesh::{INBOUND, MeshFleet, route, sealed, table},
-    script,
+    mesh::{INBOUND, MeshFleet},
 };
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -20,24 +20,6 @@
 /// Time that a store takes for an answer when it is 30 times slower than usual.
 const SLOW_ANSWER: Duration = Duration::from_millis(120);
 
-async fn fleet(zones: u8, nodes: u8) -> MeshFleet {
-    let script = script(|seen| async move { sealed(&seen, "") });
-    let half = nodes / 2;
-    let services = [("front", half, 8), ("deep", nodes - half, 8)];
-    let fleet = MeshFleet::start_in(zones, &services, script).await;
-    publish(&fleet, 1);
-    sleep(Duration::from_secs(10)).await;
-    fleet
-}
-
-fn publish(fleet: &MeshFleet, version: u64) {
-    fleet.put_routes(table(version, vec![route("a", "deep")]));
-}
-
-fn address(fleet: &MeshFleet, name: &str) -> IpAddr {
-    fleet.pairs[name].entry.address.ip()
-}
-
 fn names(fleet: &MeshFleet, is_wanted: impl Fn(&str) -> bool) -> Vec<String> {
     let names = fleet.pairs.keys().filter(|name| is_wanted(name));
     names.cloned().collect()
@@ -65,11 +47,6 @@
     silence(fleet, &names(fleet, |_| true));
 }
 
-fn version(fleet: &MeshFleet, name: &str) -> u64 {
-    let routes = fleet.pairs[name].mesh.routes.borrow();
-    routes.as_ref().map_or(0, |r| r.revision().0)
-}
-
 fn versions(fleet: &MeshFleet) -> BTreeMap<String, u64> {
     let names = fleet.pairs.keys();
     names.map(|n| (n.clone(), version(fleet, n))).collect()
@@ -106,7 +83,7 @@
     for nodes in [5, 17, 60] {
         for after_ms in [2_500, 3_500, 8_000] {
             local(async move {
-                let fleet = fleet(4, nodes).await;
+                let fleet = quiet_fleet(4, nodes).await;
                 let disturbed = Instant::now();
                 silence_all(&fleet);
                 sleep(Duration::from_millis(after_ms)).await;
@@ -124,7 +101,7 @@
 async fn silence_that_begins_during_a_change_delays_no_node() {
     for after_ms in [0, 2, 20, 60, 300, 900] {
         local(async move {
-            let fleet = fleet(4, 17).await;
+            let fleet = quiet_fleet(4, 17).await;
             publish(&fleet, 2);
             sleep(Duration::from_millis(after_ms)).await;
             let disturbed = Instant::now();
@@ -143,7 +120,7 @@
     for count in [1, 2, 4, 14] {
         for after_ms in [500, 2_500, 3_500] {
             local(async move {
-                let fleet = fleet(4, 17).await;
+                let fleet = quiet_fleet(4, 17).await;
                 let disturbed = Instant::now();
                 let mut readers = other_readers(&fleet);
                 assert!(readers.len() >= 8, "{readers:?}");
@@ -164,7 +141,7 @@
 async fn sentinels_that_alone_fall_silent_are_not_late() {
     for after_ms in [0, 500, 2_500] {
         local(async move {
-            let fleet = fleet(4, 17).await;
+            let fleet = quiet_fleet(4, 17).await;
             let disturbed = Instant::now();
             silence(&fleet, &sentinels(&fleet));
             sleep(Duration::from_millis(after_ms)).await;
@@ -181,7 +158,7 @@
 async fn silence_between_nodes_as_well_delays_no_change() {
     for after_ms in [0, 500, 2_500, 3_500] {
         local(async move {
-            let fleet = fleet(4, 17).await;
+            let fleet = quiet_fleet(4, 17).await;
             let disturbed = Instant::now();
             silence_all(&fleet);
             fleet.network.silence_open(INBOUND);
@@ -200,7 +177,7 @@
 async fn second_silence_soon_after_the_first_delays_no_change() {
     for gap_ms in [500, 1_500, 2_000, 4_000] {
         local(async move {
-            let fleet = fleet(4, 17).await;
+            let fleet = quiet_fleet(4, 17).await;
             silence_all(&fleet);
             sleep(Duration::from_millis(gap_ms)).await;
             let disturbed = Instant::now();
@@ -220,7 +197,7 @@
     for is_killed in [false, true] {
         for is_sentinel in [false, true] {
             local(async move {
-                let fleet = fleet(4, 17).await;
+                let fleet = quiet_fleet(4, 17).await;
                 let readers = match is_sentinel {
                     true => sentinels(&fleet),
                     false => other_readers(&fleet),
@@ -251,7 +228,7 @@
 async fn slow_store_after_the_silence_delays_no_change() {
     for after_ms in [500, 2_500, 3_500] {
         local(async move {
-            let fleet = fleet(4, 17).await;
+            let fleet = quiet_fleet(4, 17).await;
             let disturbed = Instant::now();
             silence_all(&fleet);
             fleet.store.delay.set(SLOW_ANSWER);
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -99,6 +99,20 @@
     table(revision, routes).with_organisations(organisations(keys))
 }
 
+/// Limits that the simulated platform imposes.
+pub fn bounds() -> PlatformBounds {
+    PlatformBounds {
+        drain: Duration::from_secs(2),
+        grace: Duration::from_secs(6),
+        budget: Budget {
+            ratio: 0.2,
+            slack: 40.0,
+            window: Duration::from_secs(10),
+        },
+        quota: QuotaBounds::default(),
+    }
+}
+
 /// A node and its backend server.
 pub struct Pair {
     pub mesh: Rc<Mesh<MemoryNet, TestDirectory>>,
@@ -209,16 +223,7 @@
             server: at(SERVER),
             store: STORE,
             metrics: Some(at(METRICS)),
-            bounds: PlatformBounds {
-                drain: Duration::from_secs(2),
-                grace: Duration::from_secs(6),
-                budget: Budget {
-                    ratio: 0.2,
-                    slack: 40.0,
-                    window: Duration::from_secs(10),
-                },
-                quota: QuotaBounds::default(),
-            },
+            bounds: bounds(),
             limits: ProcessLimits::default(),
             select_by_delay: true,
         };
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 pub mod caller;
+pub mod changes;
 pub mod mesh;
 pub mod raw;
 pub mod store;
--- a/tests/support/tcp.rs
+++ b/tests/support/tcp.rs
@@ -1,7 +1,7 @@
 //! Nodes on loopback, for what depends on the sockets of the operating system.
 
 use super::{
-    mesh::{INBOUND, METRICS, OUTBOUND, READY, SERVER, names},
+    mesh::{INBOUND, METRICS, OUTBOUND, READY, SERVER, bounds, names},
     store::{FakeStore, TestDirectory, serve_store_at},
     *,
 };
@@ -11,10 +11,8 @@
         memory::ProcessLimits,
         mesh::{
             backend::{Backend as Entry, Phase},
-            quota::QuotaBounds,
             route::RouteTable,
-            settings::{PlatformBounds, Settings as MeshSettings},
-            window::Budget,
+            settings::Settings as MeshSettings,
         },
     },
     transport::{
@@ -89,16 +87,7 @@
             server: at(SERVER),
             store: self.at(0, STORE_PORT),
             metrics: Some(at(METRICS)),
-            bounds: PlatformBounds {
-                drain: Duration::from_secs(2),
-                grace: Duration::from_secs(6),
-                budget: Budget {
-                    ratio: 0.2,
-                    slack: 40.0,
-                    window: Duration::from_secs(10),
-                },
-                quota: QuotaBounds::default(),
-            },
+            bounds: bounds(),
             limits: ProcessLimits::default(),
             select_by_delay: true,
         };
