Store: nodes that were readers until recently are told of changes

A zone whose readers are cut off keeps old routes, although its other nodes are answered by the store, if the entries of the readers' servers have lapsed before the route changes.

Cause: the sentinels tell the readers of a change, and take for readers the nodes whose servers are in use. A lapsed entry takes its node off that list, while the other nodes of the zone, which have not heard of the lapse, go on asking it. It then finds out that it is not answered when its own watch is overdue.

Evidence: in memory, cut off for 1.5 s, entries removed, routes changed 0.1 s later: late after 2 s in 11 of 11 runs, at two to four nodes (`zone_gets_changes_after_the_entries_of_its_readers_have_lapsed`).

Change: a node is told for 30 s after it stopped being a reader, which is longer than the longest watch.

Cost: up to two requests of the sentinels a change for each node that was a reader within 30 s.

--- a/src/state/mesh/readers.rs
+++ b/src/state/mesh/readers.rs
@@ -4,7 +4,9 @@
 //! their views differ, as at the start of a fleet, a node may ask one that asks another itself. Every
 //! node asks only nodes of a lower rank, so such chains end at one that reads the store.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use tokio::time::Instant;
 
 use crate::state::{
     id::{Digest, ZoneName},
@@ -75,6 +77,34 @@
     readers.map(|(_, peer, _)| peer).collect()
 }
 
+/// Nodes that read the store for others until recently.
+///
+/// The entry of a reader's server may lapse because both are cut off from the store. Other nodes then
+/// drop it as a reader, but the nodes of its zone that know nothing of it still ask it, until it finds
+/// out that the store does not answer it.
+#[derive(Debug, Default)]
+pub struct FormerReaders(BTreeMap<SocketAddr, Instant>);
+
+/// Time after which a reader has noticed by itself that the store does not answer it, as its watch is
+/// overdue.
+const FORMER_TTL: Duration = Duration::from_secs(30);
+
+impl FormerReaders {
+    /// Records the readers before and after a change of the known servers.
+    pub fn update(&mut self, before: &[SocketAddr], after: &[SocketAddr], now: Instant) {
+        let dropped = before.iter().filter(|reader| !after.contains(reader));
+        self.0.extend(dropped.map(|reader| (*reader, now)));
+        self.0
+            .retain(|reader, at| now < *at + FORMER_TTL && !after.contains(reader));
+    }
+
+    /// Those that may not have noticed yet that they are readers no more.
+    pub fn at(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let recent = self.0.iter().filter(move |(_, at)| now < **at + FORMER_TTL);
+        recent.map(|(reader, _)| *reader)
+    }
+}
+
 fn rank(nodes: &[SocketAddr]) -> [u8; 32] {
     let text: Vec<_> = nodes.iter().map(ToString::to_string).collect();
     Digest::of(text.join(" ").as_bytes()).0
--- a/src/transport/mesh/alarm.rs
+++ b/src/transport/mesh/alarm.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use http::{HeaderMap, Request, Response, StatusCode};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     protocol::{
@@ -60,9 +60,11 @@
     tell_readers(&mesh, header::STORE_CHANGED).await;
 }
 
+/// Those that were readers until recently are told as well, as other nodes may still ask them.
 async fn tell_readers<N: Net, D>(mesh: &Mesh<N, D>, message: &'static str) {
     let own = mesh.own_peer();
-    let readers = mesh.readers.borrow().clone();
+    let mut readers = mesh.readers.borrow().clone();
+    readers.extend(mesh.former_readers.borrow().at(Instant::now()));
     let others = readers.into_iter().filter(|reader| *reader != own);
     let sent = others.map(async |reader| {
         for _ in 0..2 {
--- a/src/transport/mesh/items.rs
+++ b/src/transport/mesh/items.rs
@@ -111,7 +111,10 @@
         let own = self.own_peer();
         let zone = &self.settings.zone;
         self.source.replace(readers::source(own, zone, servers()));
-        self.readers.replace(readers::all(servers()));
+        let all_readers = readers::all(servers());
+        let mut former = self.former_readers.borrow_mut();
+        former.update(&self.readers.borrow(), &all_readers, Instant::now());
+        self.readers.replace(all_readers);
         if self.quotas.is_active() {
             let nodes = servers().map(|u| u.peer).collect();
             let leaving = registry.iter().map(|record| &record.backend);
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -28,7 +28,7 @@
             calls::RunningRequests,
             downstream::{DownstreamLevels, Excluded},
             progress::Progress,
-            readers::{SENTINELS, Source},
+            readers::{FormerReaders, SENTINELS, Source},
             registry::{Registry, RemovalDelay},
             revision::StoreRevision,
             route::{Route, RouteTable},
@@ -108,6 +108,8 @@
     pub source: RefCell<Source>,
     /// The nodes that read the store for others, the sentinels first.
     pub readers: RefCell<Vec<SocketAddr>>,
+    /// The nodes that were readers until recently.
+    pub former_readers: RefCell<FormerReaders>,
     /// Notified when the connections of another node to the store have fallen silent.
     pub store_alarm: Notify,
     /// Latest revision that a reader has told the others of.
@@ -188,6 +190,7 @@
             progress: RefCell::default(),
             source: RefCell::new(Source::Store),
             readers: RefCell::default(),
+            former_readers: RefCell::default(),
             store_alarm: Notify::new(),
             announced: Cell::default(),
             relay: Relay::default(),
--- a/tests/cut_readers.rs
+++ b/tests/cut_readers.rs
@@ -99,6 +99,31 @@
     }
 }
 
+/// Guards against a zone that keeps replaced routes because its readers are told of nothing once the
+/// entries of their servers have lapsed.
+#[tokio::test(start_paused = true)]
+async fn zone_gets_changes_after_the_entries_of_its_readers_have_lapsed() {
+    for (zones, nodes) in [(3, 13), (2, 10), (3, 60)] {
+        for (cut_ms, lapsed_ms) in [(1_500, 100), (1_500, 900), (3_000, 0), (3_000, 2_500)] {
+            local(async move {
+                let fleet = quiet_fleet(zones, nodes).await;
+                let mut readers = zones_with_followers(&fleet).swap_remove(0);
+                readers.retain(|name| !is_follower(&fleet, name));
+                ignore(&fleet, &readers);
+                sleep(Duration::from_millis(cut_ms)).await;
+                readers.iter().for_each(|name| fleet.remove_entry(name));
+                sleep(Duration::from_millis(lapsed_ms)).await;
+                let late = late_nodes(&fleet, 2, BOUND).await;
+                assert!(
+                    late.is_empty(),
+                    "{nodes} nodes, cut off for {cut_ms} ms, lapsed for {lapsed_ms} ms: late at {late:?}"
+                );
+            })
+            .await;
+        }
+    }
+}
+
 /// Guards against nodes that ask a reader which is cut off while others of the zone are not.
 #[tokio::test(start_paused = true)]
 async fn zone_with_a_part_of_its_readers_cut_off_gets_changes() {
