Store: lapsed entries stay in use at nodes that the store does not answer

Servers that are draining or have announced that they leave stay out of use. A node that gets changes from others passes nothing on, since the nodes that ask it can't tell that it is not answered.

--- a/src/state/mesh/registry.rs
+++ b/src/state/mesh/registry.rs
@@ -47,8 +47,9 @@
     pub read_at: Instant,
     /// When the entry was found missing, if it is missing.
     pub missing_since: Option<Instant>,
-    /// Whether it is missing because the store was restored from a copy without it. The server then
-    /// stays in use, as it is about to write the entry again.
+    /// Whether it is missing because the store was restored from a copy without it, or was found
+    /// missing while the store did not answer this node. The server then stays in use, as it is about
+    /// to write the entry again.
     pub is_lost: bool,
 }
 
@@ -58,7 +59,7 @@
         self.backend.phase == Phase::Draining || self.is_removed()
     }
 
-    /// Whether the entry is missing, and not because of a restore of the store.
+    /// Whether the entry is missing, and the server is not expected to write it again.
     pub fn is_removed(&self) -> bool {
         self.missing_since.is_some() && !self.is_lost
     }
@@ -101,6 +102,8 @@
     records: BTreeMap<InstanceId, BackendRecord>,
     delay: RemovalDelay,
     outage_end: Option<Instant>,
+    /// Whether the store does not answer this node.
+    is_store_lost: bool,
     names: BTreeMap<UpstreamName, InstanceId>,
     /// Runs of servers that leave, by an answer or by their entry, with the time of the last report.
     leaving: BTreeMap<UpstreamName, Instant>,
@@ -113,6 +116,7 @@
             records: BTreeMap::new(),
             delay,
             outage_end: None,
+            is_store_lost: false,
             names: BTreeMap::new(),
             leaving: BTreeMap::new(),
         }
@@ -174,6 +178,9 @@
     }
 
     /// Records that the entry of a server was removed at a revision.
+    ///
+    /// While the store does not answer this node, other nodes report the removal. The server is then
+    /// likely to be cut off too, and within reach of this node.
     pub fn mark_missing(
         &mut self,
         id: &InstanceId,
@@ -185,7 +192,7 @@
             return None;
         }
         known.revision = revision;
-        known.is_lost = false;
+        known.is_lost = self.is_store_lost;
         known.missing_since = Some(now);
         Some(Change::Missing)
     }
@@ -234,17 +241,26 @@
         !self.leaving.is_empty() && self.leaving.contains_key(&backend.name())
     }
 
-    /// Records that the store answers again after it was unavailable.
-    pub fn store_returned(&mut self, now: Instant) {
-        self.outage_end = Some(now);
+    /// Records that the store does not answer this node.
+    pub fn store_lost(&mut self) {
+        self.is_store_lost = true;
+    }
+
+    /// Records that the store answers this node, again if it did not before.
+    pub fn store_answered(&mut self, now: Instant) {
+        if std::mem::take(&mut self.is_store_lost) {
+            self.outage_end = Some(now);
+        }
     }
 
     /// Removes the servers that have been missing for too long, and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<BackendRecord> {
         let (delay, outage_end) = (self.delay, self.outage_end);
+        let is_store_lost = self.is_store_lost;
         let is_gone = |b: &BackendRecord| {
-            b.missing_since
-                .is_some_and(|at| now >= delay.removal_time(at, outage_end))
+            let is_kept = is_store_lost && b.is_lost;
+            let removal = |at| delay.removal_time(at, outage_end);
+            !is_kept && b.missing_since.is_some_and(|at| now >= removal(at))
         };
         let gone = self.records.extract_if(.., |_, record| is_gone(record));
         let gone: Vec<_> = gone.map(|(_, record)| record).collect();
--- a/src/transport/mesh/follow.rs
+++ b/src/transport/mesh/follow.rs
@@ -195,6 +195,7 @@
             let path = self.mesh.directory.list_path(after.as_deref());
             self.mesh.counters.add(Counter::ConfigReads, 1);
             let response = self.client.get(&path, RESPONSE_MAX_BYTES, timeout).await?;
+            self.mesh.record_store_answer();
             let is_restored = self.record_epoch(&response.headers, None)?;
             if is_restored && revision.is_some() {
                 return Ok(ReadResult::Restored);
@@ -264,6 +265,7 @@
                 return Ok(ReadResult::Alarmed);
             }
         };
+        self.mesh.record_store_answer();
         if self.record_epoch(&response.headers, Some(from))? {
             return Ok(ReadResult::Restored);
         }
@@ -336,6 +338,7 @@
 
     fn record_failure(&mut self, error: &FollowError) {
         self.mesh.counters.add(Counter::ConfigReadsFailed, 1);
+        self.mesh.registry.borrow_mut().store_lost();
         if self.lost_since.is_none() {
             log::warn!(error:%; "store is lost");
             self.lost_since = Some(Instant::now());
@@ -405,8 +408,6 @@
         };
         let away_ms = since.elapsed().as_millis() as u64;
         log::info!(away_ms, at:%; "store is back");
-        let mut registry = self.mesh.registry.borrow_mut();
-        registry.store_returned(Instant::now());
     }
 
     fn log_behind(&self) {
--- a/src/transport/mesh/items.rs
+++ b/src/transport/mesh/items.rs
@@ -77,11 +77,17 @@
         let mut registry = self.registry.borrow_mut();
         let change = registry.mark_missing(id, revision, Instant::now());
         if change.is_some() {
-            log::info!(backend:% = id, revision:%; "entry of a backend server is missing");
+            let is_kept = registry.get(id).is_some_and(|record| record.is_lost);
+            log::info!(backend:% = id, revision:%, is_kept; "entry of a backend server is missing");
         }
         change.is_some()
     }
 
+    /// Records that the store has answered this node.
+    pub fn record_store_answer(&self) {
+        self.registry.borrow_mut().store_answered(Instant::now());
+    }
+
     fn update_routes(&self, table: RouteTable, at: StoreRevision) {
         let current = self.routes.borrow().as_ref().map(|t| t.revision());
         let revision = table.revision();
--- a/src/transport/mesh/replica.rs
+++ b/src/transport/mesh/replica.rs
@@ -113,6 +113,7 @@
                 let latest = self.mesh.progress.borrow().latest();
                 log::warn!(latest:%; "store does not answer and another node has read further; other readers are asked");
             }
+            self.mesh.registry.borrow_mut().store_lost();
             let pause = Instant::now() + Duration::from_millis(CATCH_UP_MS);
             let _ = timeout_at(pause, self.catch_up()).await;
             sleep_until(pause).await;
@@ -138,6 +139,9 @@
             match relay::ask_now(&self.mesh, reader, self.at(from)).await {
                 Ok(relay::Answer::Changes { to, body }) if to.epoch == self.epoch.get() => {
                     self.mesh.counters.add(Counter::ConfigReceived, 1);
+                    // Nodes that ask this one can't tell that the store does not answer it, and would
+                    // take servers behind the same cut for gone.
+                    self.mesh.relay.set_current(false);
                     match self.pass_on(body, from) {
                         Ok((revision, _)) => {
                             return self.mesh.progress.borrow_mut().read_to(revision);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -71,7 +71,8 @@
     for host in 1..=3 {
         registry.update(backend(&format!("i-{host}"), host), at(1), now);
     }
-    registry.store_returned(now);
+    registry.store_lost();
+    registry.store_answered(now);
     assert_eq!(
         registry.mark_unlisted(&BTreeSet::new(), false, now).len(),
         3
