Tests: broken answers to requests started ahead, and a close inside a body

The tests of broken answers sent one request a connection, and those of callers that leave had no close in the middle of a body.

Change: a broken answer to a request that was started ahead, behind one that is still waited for, through the own server and another node's, with and without a length, chunked, longer than what a waiting answer may hold, and with the statuses 000 and 101; parts of bodies, alone and behind heads, of callers that leave.

--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -21,7 +21,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use support::{local, mesh::route, tcp::TcpFleet};
+use support::{
+    caller::{Caller, Received, get},
+    local,
+    mesh::route,
+    tcp::TcpFleet,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -33,6 +38,8 @@
 /// Receive buffer of the server's connections.
 const SERVER_BUFFER_BYTES: u32 = 8 * 1_024;
 const LIMIT: Duration = Duration::from_secs(5);
+/// Time that the server takes for an answer behind which others wait.
+const WAIT: Duration = Duration::from_millis(200);
 
 /// How the end of the answer's body is given.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,8 +97,8 @@
 
 type Answer = Box<dyn Fn(&str) -> Vec<u8>>;
 
-/// The server beside the second node: `/a/ok` is answered, any other target with the `answer`, and the
-/// connection is reset behind it.
+/// The server beside the second node: targets that end in `/ok` are answered, after `WAIT` if they end
+/// in `/wait/ok`. Any other target gets the `answer`, and the connection is reset behind it.
 struct Server {
     answer: RefCell<Answer>,
     read: Cell<usize>,
@@ -114,7 +121,9 @@
 
     async fn serve(self: Rc<Self>, mut conn: TcpStream) {
         while let Some((id, target)) = read_head(&mut conn).await {
-            if target == "/a/ok" {
+            if target.ends_with("/ok") {
+                let wait = target.ends_with("/wait/ok");
+                sleep(if wait { WAIT } else { Duration::ZERO }).await;
                 let ok = head("200 OK", &id, "content-length: 2\r\n") + "ok";
                 let _ = conn.write_all(ok.as_bytes()).await;
                 continue;
@@ -125,6 +134,9 @@
             let _ = conn.write_all(&answer).await;
             sleep(self.pause.get()).await;
             // The rest of the request's body is unread, which resets the connection.
+            if target.starts_with("/b/") {
+                conn.set_zero_linger().unwrap();
+            }
             return;
         }
     }
@@ -138,6 +150,13 @@
         attempts: 1,
         ..route("a", "deep")
     };
+    // Its requests are started ahead.
+    let ahead = Route {
+        class: "b".parse().unwrap(),
+        prefix: "/b/".to_owned(),
+        idempotent: true,
+        ..upload.clone()
+    };
     let bounds = Bounds {
         body_bytes: 2 * UPLOAD_BYTES,
         header_bytes: 16_384,
@@ -145,7 +164,7 @@
         idle_timeout: Duration::from_secs(15),
     };
     let services = BTreeMap::from([("deep".parse().unwrap(), Service { connections: 100 })]);
-    RouteTable::new(Revision(1), vec![upload], services, bounds).unwrap()
+    RouteTable::new(Revision(1), vec![upload, ahead], services, bounds).unwrap()
 }
 
 type Sender = SendRequest<Full<Bytes>>;
@@ -239,6 +258,24 @@
     }
 }
 
+/// Sends three requests at once, the second one of which gets the server's `answer` while the first
+/// one waits. Returns what the caller receives.
+async fn answers_ahead(world: &World, at: SocketAddr) -> Vec<Received> {
+    for number in 0..100 {
+        let before = world.server.arrived.get();
+        let mut caller = Caller(TcpStream::connect(at).await.unwrap());
+        let broken = format!("/b/{before}/{number}");
+        let targets = ["/b/wait/ok", &broken, "/b/ok"];
+        caller.write(targets.map(get).concat()).await;
+        sleep(WAIT / 2).await;
+        // The node refuses requests for a while after a failure.
+        if world.server.arrived.get() > before {
+            return timeout(LIMIT, caller.answers(3)).await.unwrap();
+        }
+    }
+    panic!("no request is started ahead");
+}
+
 /// Waits until a node serves, which also leaves a connection to the server that is kept.
 async fn wait_until_served(at: SocketAddr) {
     for _ in 0..100 {
@@ -283,6 +320,51 @@
     .await;
 }
 
+/// Guards against a broken answer to a request that was started ahead: it must not look complete, or
+/// be taken for that of the request before it or behind it.
+#[tokio::test]
+async fn broken_answers_to_requests_started_ahead_stay_in_their_place() {
+    local(async {
+        let world = World::start(3);
+        let mut cases: Vec<(String, Box<dyn Fn() -> Answer>)> = Vec::new();
+        for end in [End::Close, End::Length, End::Chunked] {
+            // The longer one does not fit into the memory for an answer that waits.
+            for sent in [400, 1_000_000] {
+                let case = Broken { end, sent };
+                let answer = move || -> Answer { Box::new(move |id| begin(case, id)) };
+                cases.push((format!("{case:?}"), Box::new(answer)));
+            }
+        }
+        for status in ["000 OK", "101 Switching Protocols"] {
+            let text = move |id: &str| head(status, id, "content-length: 3\r\n") + "abc";
+            let answer = move || -> Answer { Box::new(move |id| text(id).into_bytes()) };
+            cases.push((status.to_owned(), Box::new(answer)));
+        }
+        for (case, answer) in cases {
+            for (node, path) in [(2, "own server"), (1, "server of another node")] {
+                let at = world.fleet.outbound(node);
+                wait_until_served(at).await;
+                *world.server.answer.borrow_mut() = answer();
+                let answers = answers_ahead(&world, at).await;
+                let summary = answers.iter().map(|a| (a.status, a.body.len()));
+                let what = format!("{case}, {path}: {:?}", summary.collect::<Vec<_>>());
+                let [first, rest @ ..] = answers.as_slice() else {
+                    panic!("{what}");
+                };
+                assert_eq!((first.status, &*first.body), (200, &b"ok"[..]), "{what}");
+                if let Some(broken) = rest.first() {
+                    assert!(broken.status >= 500, "{what}");
+                }
+                if let Some(last) = rest.get(1) {
+                    let is_served = last.status == 200 && last.body == b"ok";
+                    assert!(is_served || last.status >= 500, "{what}");
+                }
+            }
+        }
+    })
+    .await;
+}
+
 /// Guards against an answer without a valid status that is passed on.
 #[tokio::test]
 async fn answer_without_a_valid_status_is_a_failure() {
--- a/tests/leavers.rs
+++ b/tests/leavers.rs
@@ -105,6 +105,13 @@
     first + &body + &heads(count, field_bytes, 0)
 }
 
+/// The begin of a request with a body.
+fn part_of_a_body(bytes: usize) -> String {
+    let mut text = body_and_heads(200_000, 0, 0);
+    text.truncate(bytes);
+    text
+}
+
 /// Sends requests, leaves after `stay_ms`, and checks that the work ends and nothing arrives later.
 async fn leave(text: String, stay_ms: u64, what: &str) {
     let (fleet, at_work) = fleet().await;
@@ -133,6 +140,15 @@
         ("one request at a time", heads(1, 12_000, 0)),
         ("one small request", heads(1, 1, 0)),
         ("part of a head", heads(9, 12_000, 0)[..100_000].to_owned()),
+        ("part of a body", part_of_a_body(50_000)),
+        (
+            "part of a body behind heads",
+            heads(3, 12_000, 0) + &part_of_a_body(60_000),
+        ),
+        (
+            "part of a body behind one head",
+            heads(1, 10, 0) + &part_of_a_body(90_000),
+        ),
     ];
     for (what, text) in cases {
         local(leave(text, 500, what)).await;
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -15,7 +15,7 @@
 }
 
 /// A connection to the listener for callers of a node.
-pub struct Caller(<MemoryNet as Net>::Conn);
+pub struct Caller<C = <MemoryNet as Net>::Conn>(pub C);
 
 impl Caller {
     pub async fn dial(fleet: &MeshFleet, name: &str) -> Self {
@@ -23,7 +23,9 @@
         let net = fleet.network.net(ip, Process::default());
         Self(net.dial(SocketAddr::new(ip, OUTBOUND)).await.unwrap())
     }
+}
 
+impl<C: AsyncRead + AsyncWrite + Unpin> Caller<C> {
     pub async fn write(&mut self, bytes: impl AsRef<[u8]>) {
         self.0.write_all(bytes.as_ref()).await.unwrap();
         self.0.flush().await.unwrap();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -42,7 +42,7 @@
 use hyper::{body::Incoming, client::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     task::{JoinHandle, LocalSet},
 };
 use tokio_util::sync::CancellationToken;
