Pipelining: the next head waits until the last answer is written

Callers saw: a caller that sends requests ahead and reads nothing for a while loses its connection in the middle of an answer, if a request needs other limits of the HTTP library than the one before it.

Cause: the adapter ended the present instance of the library with an empty read as soon as the last answer was handed over. An instance with unwritten bytes takes that for a caller that has left.

Evidence: all three tests of tests/slow_callers.rs fail before, with many fields, bodies between the heads, and changed limits.

Change: while a write is pending, the adapter reads on for itself, as during a request, and looks again when it has gone through. The library would read no head before that either, so nothing starts later.

--- a/src/transport/pipeline/conn.rs
+++ b/src/transport/pipeline/conn.rs
@@ -207,6 +207,9 @@
             return this.poll_body(cx, out);
         }
         match this.signal.phase() {
+            // The HTTP library has taken the last response, but not written it. It reads only to
+            // notice the end of the connection, for which it would take an empty read.
+            Phase::Idle if this.signal.is_blocked.get() => this.poll_behind(cx, out),
             Phase::Idle => this.poll_head(cx, out),
             Phase::Begun | Phase::Open | Phase::Shut | Phase::Opaque => this.poll_behind(cx, out),
         }
@@ -219,7 +222,10 @@
     H: Handler,
 {
     fn note_write<T>(&self, polled: Poll<T>) -> Poll<T> {
-        self.signal.is_blocked.set(polled.is_pending());
+        let was_blocked = self.signal.is_blocked.replace(polled.is_pending());
+        if was_blocked && polled.is_ready() && self.signal.has_unread.get() {
+            self.signal.wake();
+        }
         polled
     }
 }
