Registry: entries of unnamed services take no addresses

Callers saw: 503 for all requests, as long as entries of another writer with a service that the configuration does not name, a later start and the addresses of servers are in the store.

Cause: an address went to the entry with the latest start, whatever its service.

Change: of several entries with one address, those whose service the configuration names come first. A node counts its own service as named.

--- a/src/state/mesh/registry.rs
+++ b/src/state/mesh/registry.rs
@@ -104,6 +104,8 @@
     outage_end: Option<Instant>,
     /// Whether the store does not answer this node.
     is_store_lost: bool,
+    /// Services of the configuration; `None` before one is known.
+    services: Option<BTreeSet<ServiceName>>,
     names: BTreeMap<UpstreamName, InstanceId>,
     /// Runs of servers that leave, by an answer or by their entry, with the time of the last report.
     leaving: BTreeMap<UpstreamName, Instant>,
@@ -117,6 +119,7 @@
             delay,
             outage_end: None,
             is_store_lost: false,
+            services: None,
             names: BTreeMap::new(),
             leaving: BTreeMap::new(),
         }
@@ -127,6 +130,17 @@
         self.delay = delay;
     }
 
+    /// Sets the services of the configuration. An entry of any other service may be of another writer,
+    /// and takes no address from a server.
+    pub fn set_services(&mut self, services: BTreeSet<ServiceName>) {
+        self.services = Some(services);
+    }
+
+    fn is_foreign(&self, backend: &Backend) -> bool {
+        let services = self.services.as_ref();
+        services.is_some_and(|services| !services.contains(&backend.service))
+    }
+
     /// Records an entry; `None` if it changes nothing or is older than the known one.
     pub fn update(
         &mut self,
@@ -277,14 +291,17 @@
         self.records.get(id)
     }
 
-    /// The server at an address. Of several, one that is not missing is preferred, then the one
-    /// that started last.
+    /// The server at an address. Of several, one of a service of the configuration is preferred, then
+    /// one that is not missing, then the one that started last.
     pub fn by_address(&self, address: SocketAddr) -> Option<&BackendRecord> {
         let there = self
             .records
             .values()
             .filter(|b| b.backend.address == address);
-        there.max_by_key(|b| (!b.is_removed(), b.backend.started_ms, b.revision))
+        there.max_by_key(|b| {
+            let is_known = !self.is_foreign(&b.backend);
+            (is_known, !b.is_removed(), b.backend.started_ms, b.revision)
+        })
     }
 
     /// The id of the server with an upstream name.
@@ -322,7 +339,10 @@
         let mut all: BTreeMap<_, (Vec<_>, Vec<_>)> = BTreeMap::new();
         // An address that is reused belongs to the server that started there last. Servers that do
         // not state their start are compared by the order in which they were found.
-        let start = |record: &BackendRecord| (record.backend.started_ms, record.first_revision);
+        let start = |record: &BackendRecord| {
+            let is_known = !self.is_foreign(&record.backend);
+            (is_known, record.backend.started_ms, record.first_revision)
+        };
         let mut last = BTreeMap::new();
         for record in self.records.values() {
             let latest = last.entry(record.backend.address).or_default();
--- a/src/state/mesh/route.rs
+++ b/src/state/mesh/route.rs
@@ -165,6 +165,11 @@
         self.bounds
     }
 
+    /// Names of all services.
+    pub fn service_names(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
     /// The configuration of a service.
     pub fn service(&self, name: &ServiceName) -> Option<Service> {
         self.services.get(name).copied()
--- a/src/transport/mesh/shared.rs
+++ b/src/transport/mesh/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -302,6 +302,10 @@
         self.counters
             .set(Counter::Organisations, organisations as u64);
         self.counters.set(Counter::OrganisationKeys, keys as u64);
+        let mut services: BTreeSet<_> = table.service_names().cloned().collect();
+        // The node's own server counts as one whether or not it can be called.
+        services.insert(self.settings.service.clone());
+        self.registry.borrow_mut().set_services(services);
         *self.routes.borrow_mut() = Some(Rc::new(table));
         self.apply_registry();
     }
