Limits on clients: fields and bytes read ahead are charged what they take

Cause: 256 bytes were charged for a field, which covers its entries in two maps but not its name and value on the heap nor the growth of the maps. Bytes that are read behind a request were charged to nobody.

Change: 768 bytes a field, and a charge for the memory of unread bytes.

Cost: a request with ten fields is charged 5 KB more.

--- a/src/state/memory.rs
+++ b/src/state/memory.rs
@@ -246,8 +246,13 @@
 
     /// Charges more bytes in any case, for requests that have been forwarded.
     pub fn grow(&mut self, bytes: usize) {
-        self.budget.used.update(|used| used + bytes);
-        self.bytes += bytes;
+        self.set(self.bytes + bytes);
+    }
+
+    /// Charges this number of bytes in any case.
+    pub fn set(&mut self, bytes: usize) {
+        self.budget.used.update(|used| used - self.bytes + bytes);
+        self.bytes = bytes;
     }
 }
 
--- a/src/transport/mesh/intake.rs
+++ b/src/transport/mesh/intake.rs
@@ -30,8 +30,9 @@
 /// Memory charged for a request and its tasks.
 const REQUEST_BYTES: usize = 4 * 1_024;
 /// Memory charged for each field, besides its name and value: its entries in two maps, as the request
-/// to the server or to another node has its own.
-const FIELD_BYTES: usize = 256;
+/// to the server or to another node has its own, and a name and a value on the heap in each. The maps
+/// may be half empty, and blocks this small waste a part of the heap.
+const FIELD_BYTES: usize = 768;
 /// Time for which a caller may take no byte of an answer. Well-behaved ones take it as it comes.
 pub const STALL: Duration = Duration::from_secs(10);
 /// The same while memory is short.
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -31,7 +31,10 @@
 use thiserror::Error;
 use tokio::io::ReadBuf;
 
-use crate::state::counters::{Counter, Counters};
+use crate::state::{
+    counters::{Counter, Counters},
+    memory::Charge,
+};
 
 use super::{
     net::Conn,
@@ -119,6 +122,8 @@
     shared: Option<Shared>,
     signal: Rc<Signal>,
     queue: LazyQueue<F, H::Body>,
+    /// Charge for the bytes that the HTTP library has not got.
+    unread: RefCell<Option<Charge>>,
 }
 
 /// Created with the first bytes behind a request, which most connections never have.
@@ -144,6 +149,7 @@
             shared,
             signal: Rc::new(Signal::new(phase, limits)),
             queue: RefCell::default(),
+            unread: RefCell::default(),
         })
     }
 
@@ -359,6 +365,14 @@
         queue.as_ref().is_some_and(|queue| queue.is_full())
     }
 
+    fn charge_unread(&self, bytes: usize) {
+        let Some(memory) = self.handler.memory() else {
+            return;
+        };
+        let mut charge = self.unread.borrow_mut();
+        charge.get_or_insert_with(|| Charge::new(memory)).set(bytes);
+    }
+
     /// Waits for the end of a connection that is not read for now.
     fn watch_end<E>(&self, end: impl FnOnce() -> E) -> Option<EndWatch<E>> {
         let shared = self.shared.as_ref()?;
@@ -378,7 +392,9 @@
     fn push_unread(&self, cx: &Context<'_>, bytes: &[u8]) {
         self.signal.set_waker(cx.waker());
         let mut queue = self.queue.borrow_mut();
-        queue.get_or_insert_default().push(bytes);
+        let queue = queue.get_or_insert_default();
+        queue.push(bytes);
+        self.charge_unread(queue.unread_memory());
         self.signal.has_unread.set(true);
     }
 
@@ -392,6 +408,7 @@
         let queue = queue.get_or_insert_default();
         let bytes: BytesMut = take(queue, out.remaining());
         out.put_slice(&bytes);
+        self.charge_unread(queue.unread_memory());
         self.signal.has_unread.set(!queue.is_read());
         match bytes.is_empty() {
             // An empty read would be taken for the end of the connection.
--- a/src/transport/pipeline/queue.rs
+++ b/src/transport/pipeline/queue.rs
@@ -108,6 +108,11 @@
         &self.unread
     }
 
+    /// Memory that the bytes take which the HTTP library has not got.
+    pub fn unread_memory(&self) -> usize {
+        self.unread.capacity()
+    }
+
     /// Whether no request that was started waits for its turn.
     pub fn is_empty(&self) -> bool {
         self.started.is_empty()
--- a/tests/slow_callers.rs
+++ b/tests/slow_callers.rs
@@ -160,3 +160,36 @@
         local(read_slowly(case, change)).await;
     }
 }
+
+/// Guards against bytes that a node reads behind a request and charges to nobody.
+#[tokio::test(start_paused = true)]
+async fn bytes_read_behind_a_request_are_charged() {
+    local(async {
+        let services = [("front", 1, 400), ("deep", 1, 400)];
+        let slow = script(|seen| async move {
+            sleep(PAUSE).await;
+            sealed(&seen, "")
+        });
+        let fleet = MeshFleet::with(&services, routes(), slow).await;
+        let used = || fleet.pairs["front-0"].mesh.memory.used().0;
+        let before = used();
+        let mut caller = Caller::dial(&fleet, "front-0").await;
+        caller.write(with_lines("GET", "/a/1", "")).await;
+        sleep(PAUSE / 10).await;
+        let with_one = used();
+        // A request with a body is not started ahead.
+        let lines = format!("content-length: 1\r\ncookie: {}\r\n", "a".repeat(12_000));
+        let behind = with_lines("POST", "/a/2", &lines) + "b";
+        caller.write(behind.repeat(4)).await;
+        sleep(PAUSE / 10).await;
+        let charged = used() - with_one;
+        assert!(charged >= 4 * behind.len(), "{charged} bytes charged");
+        assert!(charged <= 16 * behind.len(), "{charged} bytes charged");
+        let answers = caller.answers(5).await;
+        assert!(answers.iter().all(|a| a.status == 200) && answers.len() == 5);
+        drop(caller);
+        sleep(PAUSE).await;
+        assert_eq!(used(), before);
+    })
+    .await;
+}
